Thin whole path in separate processes

Cause: nothing stood yet. A caller's request goes entry, sidecar, engine and back over QUIC; a booking goes through a claim in the table; the configuration comes through the resource API.

Ruled out: repeating table writes inside the AWS SDK, since a repeat after a lost answer cannot be told from a conflict with another writer.

Conclusion: the slices can be widened behind these interfaces.

--- /dev/null
+++ b/balancer.go
@@ -0,0 +1,25 @@
+package foxtailstack
+
+import "time"
+
+// Candidate is an upstream that a request may go to, as last seen.
+type Candidate struct {
+	Name    UpstreamName
+	Address Address
+	Centre  DataCentre
+	// Wait is the expected wait in the queue.
+	Wait time.Duration
+	// Age is the time since Wait was seen; Known tells whether it ever was.
+	Age   time.Duration
+	Known bool
+	// Distance is the time of one way to the upstream.
+	Distance time.Duration
+	// Cached tells that the upstream probably holds the prefix of the prompt.
+	Cached bool
+}
+
+// Balancer picks the upstream for one attempt.
+type Balancer interface {
+	// Pick returns the index of the chosen candidate. Candidates is not empty.
+	Pick(candidates []Candidate) int
+}
--- /dev/null
+++ b/entry/response.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/booking"
+	"github.com/foxtailstack/foxtailstack/upstream"
+)
+
+// defaultRetry is the time after which a refused caller may come back.
+const defaultRetry = time.Second
+
+// problem is a refusal in the form of RFC 9457.
+type problem struct {
+	Status  int    `json:"status"`
+	Title   string `json:"title"`
+	Detail  string `json:"detail"`
+	outcome foxtailstack.Outcome
+	retry   time.Duration
+}
+
+// refuse returns the problem of a request that was not run.
+func refuse(status int, detail string) *problem {
+	return &problem{
+		Status:  status,
+		Title:   http.StatusText(status),
+		Detail:  detail,
+		outcome: foxtailstack.NotRun,
+	}
+}
+
+// write answers with the problem.
+func (p *problem) write(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.Header().Set(HeaderOutcome, p.outcome.String())
+	if p.retry > 0 {
+		seconds := int((p.retry + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p) // the caller may be gone
+}
+
+// response collects a whole answer, or passes a streamed one on.
+type response struct {
+	w      http.ResponseWriter
+	stream bool
+	// begun is set once the caller has received part of the answer.
+	begun  bool
+	status int
+	kind   string
+	body   []byte
+}
+
+// head takes the head of an answer.
+func (r *response) head(h upstream.Head) error {
+	r.status = h.Status
+	r.kind = h.ContentType
+	r.body = r.body[:0]
+	return nil
+}
+
+// data takes a piece of the body.
+func (r *response) data(b []byte) error {
+	if !r.stream {
+		r.body = append(r.body, b...)
+		return nil
+	}
+	if !r.begun {
+		r.begun = true
+		r.w.Header().Set("Trailer", HeaderOutcome)
+		r.w.Header().Set("Content-Type", r.kind)
+		r.w.WriteHeader(r.status)
+	}
+	_, err := r.w.Write(b)
+	if err != nil {
+		return err
+	}
+	return http.NewResponseController(r.w).Flush()
+}
+
+// whole takes a recorded answer.
+func (r *response) whole(answer booking.Answer) error {
+	err := r.head(upstream.Head{
+		Status:      answer.Status,
+		ContentType: answer.ContentType,
+	})
+	if err != nil {
+		return err
+	}
+	return r.data(answer.Body)
+}
+
+// finish ends the answer: err is the error of the last attempt.
+func (r *response) finish(err error) {
+	switch {
+	case err == nil && r.begun:
+		r.w.Header().Set(HeaderOutcome, foxtailstack.Ran.String())
+	case err == nil:
+		r.w.Header().Set("Content-Type", r.kind)
+		r.w.Header().Set(HeaderOutcome, foxtailstack.Ran.String())
+		r.w.WriteHeader(r.status)
+		_, _ = r.w.Write(r.body) // the caller may be gone
+	case r.begun:
+		panic(http.ErrAbortHandler) // an answer cut short must not look whole
+	default:
+		problemOf(err).write(r.w)
+	}
+}
+
+// problemOf returns the problem that stands for the error of an attempt.
+func problemOf(err error) *problem {
+	if errors.Is(err, booking.ErrMismatch) {
+		return refuse(http.StatusUnprocessableEntity, err.Error())
+	}
+	p := &problem{
+		Status: http.StatusBadGateway,
+		Detail: err.Error(),
+		retry:  defaultRetry,
+	}
+	var failed *AttemptError
+	if errors.As(err, &failed) {
+		p.outcome = failed.Outcome
+		p.retry = max(p.retry, failed.Retry)
+	}
+	if p.outcome == foxtailstack.NotRun {
+		p.Status = http.StatusServiceUnavailable
+	}
+	p.Title = http.StatusText(p.Status)
+	return p
+}
--- /dev/null
+++ b/keys/authority.go
@@ -0,0 +1,128 @@
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"time"
+)
+
+const (
+	// validity is how long a certificate of a test authority holds.
+	validity = 365 * 24 * time.Hour
+	// skew allows for clocks that run late.
+	skew = time.Hour
+	// serialBits is the size of a random serial number.
+	serialBits = 120
+)
+
+// Pair is a certificate with its private key, both in PEM form.
+type Pair struct {
+	Cert []byte
+	Key  []byte
+}
+
+// Authority signs certificates for tests and demonstrations.
+type Authority struct {
+	Pair
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// NewAuthority returns an authority with a new key.
+func NewAuthority() (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, fmt.Errorf("generate key of authority: %w", err)
+	}
+	template, err := newTemplate("foxtailstack test authority")
+	if err != nil {
+		return nil, err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, fmt.Errorf("sign authority: %w", err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, fmt.Errorf("parse authority: %w", err)
+	}
+	pair, err := encode(der, key)
+	if err != nil {
+		return nil, err
+	}
+	return &Authority{
+		Pair: pair,
+		cert: cert,
+		key:  key,
+	}, nil
+}
+
+// Issue returns a certificate for an instance that listens on the given hosts,
+// each an IP number or a name. It serves both ends of a connection.
+func (a *Authority) Issue(name string, hosts ...string) (Pair, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, fmt.Errorf("generate key of %s: %w", name, err)
+	}
+	template, err := newTemplate(name)
+	if err != nil {
+		return Pair{}, err
+	}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	for _, host := range hosts {
+		if ip := net.ParseIP(host); ip != nil {
+			template.IPAddresses = append(template.IPAddresses, ip)
+		} else {
+			template.DNSNames = append(template.DNSNames, host)
+		}
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		return Pair{}, fmt.Errorf("sign certificate of %s: %w", name, err)
+	}
+	return encode(der, key)
+}
+
+// newTemplate returns the fields that all certificates share.
+func newTemplate(name string) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, fmt.Errorf("draw serial number: %w", err)
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-skew),
+		NotAfter:     now.Add(validity),
+	}, nil
+}
+
+// encode returns the PEM forms of a certificate and its key.
+func encode(der []byte, key *ecdsa.PrivateKey) (Pair, error) {
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Pair{}, fmt.Errorf("encode private key: %w", err)
+	}
+	return Pair{
+		Cert: pem.EncodeToMemory(&pem.Block{
+			Type:  "CERTIFICATE",
+			Bytes: der,
+		}),
+		Key: pem.EncodeToMemory(&pem.Block{
+			Type:  "PRIVATE KEY",
+			Bytes: private,
+		}),
+	}, nil
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/keys"
+	"github.com/foxtailstack/foxtailstack/platform"
+	"github.com/foxtailstack/foxtailstack/settings"
+	"github.com/foxtailstack/foxtailstack/timeline"
+	"github.com/foxtailstack/foxtailstack/wire"
+	"go.uber.org/zap"
+)
+
+const (
+	// defaultGrace is the time for requests in progress when stopping.
+	defaultGrace = 30 * time.Second
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 10 * time.Second
+	// maxHeader is the length of the longest header of a request in bytes.
+	maxHeader = 64 << 10
+)
+
+// base is what every process has.
+type base struct {
+	settings settings.Settings
+	log      *zap.Logger
+	ring     *timeline.Ring
+	table    foxtailstack.Table
+	client   *wire.Client
+	mux      wire.Mux
+	peers    net.Addr
+}
+
+// newBase connects a process to the platform and to its peers.
+func newBase(cfg settings.Settings, config keys.Config, log *zap.Logger) *base {
+	return &base{
+		settings: cfg,
+		log:      log,
+		ring:     &timeline.Ring{Instance: cfg.Name},
+		table: platform.NewDynamo(platform.Endpoint{
+			URL:    cfg.Platform.Table,
+			Region: cfg.Platform.Region,
+			Access: cfg.Platform.Access,
+			Secret: cfg.Platform.Secret,
+		}, cfg.Platform.Name),
+		client: wire.NewClient(config.Peer),
+	}
+}
+
+// listenPeers binds the address for other processes.
+func (b *base) listenPeers(config keys.Config) error {
+	addr, err := b.mux.Listen(string(b.settings.Listen.Peers), config.Peer)
+	b.peers = addr
+	return err
+}
+
+// grace returns the time for requests in progress when stopping.
+func (b *base) grace() time.Duration {
+	if b.settings.Grace > 0 {
+		return time.Duration(b.settings.Grace)
+	}
+	return defaultGrace
+}
+
+// listenHTTP binds a TCP address, with TLS unless plain is set.
+func listenHTTP(address foxtailstack.Address, cfg *tls.Config, plain bool) (net.Listener, error) {
+	listener, err := net.Listen("tcp", string(address))
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	if plain {
+		return listener, nil
+	}
+	own := cfg.Clone()
+	own.NextProtos = []string{"h2", "http/1.1"}
+	return tls.NewListener(listener, own), nil
+}
+
+// serveHTTP serves until ctx ends and then lets the requests in progress finish
+// within the grace period.
+func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, grace time.Duration) error {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
+	stopped := make(chan error, 1)
+	go func() {
+		<-ctx.Done()
+		limited, cancel := context.WithTimeout(context.Background(), grace)
+		defer cancel()
+		stopped <- server.Shutdown(limited)
+	}()
+	err := server.Serve(listener)
+	if !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", listener.Addr(), err)
+	}
+	return <-stopped
+}
--- /dev/null
+++ b/scenario/scenario_test.go
@@ -0,0 +1,63 @@
+package scenario
+
+import (
+	"os"
+	"testing"
+
+	"github.com/foxtailstack/foxtailstack/command"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"foxtailstack": func() { os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+func TestScenario(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata",
+		Setup: setup,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"start":  withSystem((*system).start),
+			"stop":   withSystem((*system).stop),
+			"kill":   withSystem((*system).kill),
+			"freeze": withSystem((*system).freeze),
+			"thaw":   withSystem((*system).thaw),
+			"apply":  withSystem((*system).apply),
+			"send":   withSystem((*system).send),
+			"join":   withSystem((*system).join),
+			"expect": withSystem((*system).expect),
+			"outage": withSystem((*system).outage),
+			"slow":   withSystem((*system).slow),
+			"lose":   withSystem((*system).lose),
+			"faults": withSystem((*system).engineFaults),
+		},
+		RequireUniqueNames: true,
+	})
+}
+
+// systemKey is the key of a script's system.
+type systemKey struct{}
+
+// setup gives a script its own system.
+func setup(env *testscript.Env) error {
+	s, err := newSystem(env.WorkDir)
+	if err != nil {
+		return err
+	}
+	env.Values[systemKey{}] = s
+	env.Defer(s.close)
+	return nil
+}
+
+// withSystem turns a method of the system into a command of a script.
+func withSystem(f func(*system, *testscript.TestScript, []string) error) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		s, _ := ts.Value(systemKey{}).(*system)
+		err := f(s, ts, args)
+		if (err != nil) != neg {
+			ts.Fatalf("got error %v, expected one: %t", err, neg)
+		}
+	}
+}
--- /dev/null
+++ b/upstream/engine.go
@@ -0,0 +1,154 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+)
+
+// Headers of the engine's protocol.
+const (
+	headerAttempt  = "X-Request-Id"
+	headerFencing  = "X-Fencing-Number"
+	headerPriority = "X-Priority"
+	headerTeam     = "X-Team"
+	headerResume   = "Last-Event-ID"
+)
+
+const (
+	// maxConns is the number of idle connections kept to the engine.
+	maxConns = 256
+	// controlTimeout bounds reports and orders.
+	controlTimeout = 5 * time.Second
+	// maxReport is the length of the longest report in bytes.
+	maxReport = 1 << 20
+)
+
+// HTTPEngine is a foxtailstack.Engine that speaks HTTP, with answers whole or
+// as server-sent events.
+type HTTPEngine struct {
+	client *http.Client
+	url    string
+}
+
+// NewHTTPEngine returns the engine at url.
+func NewHTTPEngine(url string) *HTTPEngine {
+	return &HTTPEngine{
+		client: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: maxConns,
+			DisableCompression:  true,
+		}},
+		url: url,
+	}
+}
+
+// Run hands one call to the engine and returns its answer, whose body the
+// caller closes.
+func (e *HTTPEngine) Run(ctx context.Context, call foxtailstack.EngineCall) (foxtailstack.EngineAnswer, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, e.url+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return foxtailstack.EngineAnswer{}, fmt.Errorf("%w: %w", foxtailstack.ErrEngineRefused, err)
+	}
+	request.GetBody = nil // keeps the transport from sending the call again
+	id := call.Attempt.String()
+	request.Header.Set("Content-Type", call.ContentType)
+	request.Header.Set(headerAttempt, id)
+	request.Header.Set(headerTeam, string(call.Team))
+	request.Header.Set(headerPriority, strconv.Itoa(int(call.Priority)))
+	if call.Stream {
+		request.Header.Set("Accept", "text/event-stream")
+	}
+	if call.Resume > 0 {
+		request.Header.Set(headerResume, strconv.FormatUint(call.Resume, 10))
+	}
+	if call.Fencing > 0 {
+		request.Header.Set(headerFencing, strconv.FormatUint(uint64(call.Fencing), 10))
+	}
+	response, err := e.client.Do(request)
+	if err != nil {
+		return foxtailstack.EngineAnswer{}, engineError(err)
+	}
+	if got := response.Header.Get(headerAttempt); got != id {
+		_ = response.Body.Close()
+		return foxtailstack.EngineAnswer{}, fmt.Errorf("%w: got %q, expected %q", foxtailstack.ErrEngineMismatch, got, id)
+	}
+	return foxtailstack.EngineAnswer{
+		Status:      response.StatusCode,
+		ContentType: response.Header.Get("Content-Type"),
+		Body:        response.Body,
+	}, nil
+}
+
+// Load returns the last load report.
+func (e *HTTPEngine) Load(ctx context.Context) (foxtailstack.EngineLoad, error) {
+	var load foxtailstack.EngineLoad
+	err := e.control(ctx, http.MethodGet, "/load", nil, &load)
+	return load, err
+}
+
+// State returns what is loaded.
+func (e *HTTPEngine) State(ctx context.Context) (foxtailstack.EngineState, error) {
+	var state foxtailstack.EngineState
+	err := e.control(ctx, http.MethodGet, "/state", nil, &state)
+	return state, err
+}
+
+// Order asks the engine to load want.
+func (e *HTTPEngine) Order(ctx context.Context, want foxtailstack.EngineState) error {
+	var state foxtailstack.EngineState
+	return e.control(ctx, http.MethodPut, "/state", want, &state)
+}
+
+// control sends a report or an order and decodes what comes back into answer.
+func (e *HTTPEngine) control(ctx context.Context, method, path string, body, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	var content io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return fmt.Errorf("%w: %w", foxtailstack.ErrEngineFailed, err)
+		}
+		content = bytes.NewReader(data)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, e.url+path, content)
+	if err != nil {
+		return fmt.Errorf("%w: %w", foxtailstack.ErrEngineFailed, err)
+	}
+	response, err := e.client.Do(request)
+	if err != nil {
+		return engineError(err)
+	}
+	defer response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusConflict:
+		return foxtailstack.ErrEngineFenced
+	default:
+		return fmt.Errorf("%w: %s %s: %s", foxtailstack.ErrEngineFailed, method, path, response.Status)
+	}
+	err = json.NewDecoder(io.LimitReader(response.Body, maxReport)).Decode(answer)
+	if err != nil {
+		return fmt.Errorf("%w: %w", foxtailstack.ErrEngineFailed, err)
+	}
+	return nil
+}
+
+// engineError turns an error of the client into one of the interface. Only a
+// failure to connect proves that the engine has seen nothing.
+func engineError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %w", foxtailstack.ErrEngineRefused, err)
+	}
+	return fmt.Errorf("%w: %w", foxtailstack.ErrEngineFailed, err)
+}
--- /dev/null
+++ b/upstream/frame.go
@@ -0,0 +1,113 @@
+package upstream
+
+import (
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/booking"
+	"github.com/foxtailstack/foxtailstack/fleet"
+	"github.com/foxtailstack/foxtailstack/wire"
+)
+
+// StreamAttempt is the kind of the streams that carry attempts.
+const StreamAttempt wire.Kind = "attempt"
+
+// Frame is one message of an attempt. Exactly one of its parts is set.
+type Frame struct {
+	Attempt  foxtailstack.AttemptID `cbor:"1,keyasint"`
+	Open     *Open                  `cbor:"2,keyasint,omitempty"`
+	Reserved *Reserved              `cbor:"3,keyasint,omitempty"`
+	Run      *Run                   `cbor:"4,keyasint,omitempty"`
+	Head     *Head                  `cbor:"5,keyasint,omitempty"`
+	Data     []byte                 `cbor:"6,keyasint,omitempty"`
+	End      *End                   `cbor:"7,keyasint,omitempty"`
+	Refusal  *Refusal               `cbor:"8,keyasint,omitempty"`
+	Failure  *Failure               `cbor:"9,keyasint,omitempty"`
+}
+
+// Open asks the sidecar to admit an attempt.
+type Open struct {
+	Upstream    string                `cbor:"1,keyasint"`
+	Team        foxtailstack.TeamName `cbor:"2,keyasint"`
+	Path        string                `cbor:"3,keyasint"`
+	ContentType string                `cbor:"4,keyasint"`
+	Body        []byte                `cbor:"5,keyasint"`
+	Priority    foxtailstack.Priority `cbor:"6,keyasint,omitempty"`
+	Stream      bool                  `cbor:"7,keyasint,omitempty"`
+	Resume      uint64                `cbor:"8,keyasint,omitempty"`
+	// Left is the time left until the caller's deadline.
+	Left time.Duration `cbor:"9,keyasint"`
+	// Reserve holds the attempt until Run; set for non-idempotent attempts.
+	Reserve bool `cbor:"10,keyasint,omitempty"`
+}
+
+// Reserved says that the attempt runs once it is told to.
+type Reserved struct {
+	Incarnation foxtailstack.Incarnation `cbor:"1,keyasint"`
+}
+
+// Run lets a reserved attempt start, under a claim.
+type Run struct {
+	Key    BookingKey                 `cbor:"1,keyasint"`
+	Claim  booking.Claim              `cbor:"2,keyasint"`
+	Number foxtailstack.FencingNumber `cbor:"3,keyasint"`
+}
+
+// BookingKey is a booking.Key in a message.
+type BookingKey struct {
+	Team        foxtailstack.TeamName    `cbor:"1,keyasint"`
+	Fleet       foxtailstack.FleetName   `cbor:"2,keyasint"`
+	Service     foxtailstack.ServiceName `cbor:"3,keyasint"`
+	Idempotency string                   `cbor:"4,keyasint"`
+}
+
+// Key returns the booking.Key in k.
+func (k BookingKey) Key() booking.Key {
+	return booking.Key{
+		Team: k.Team,
+		Service: fleet.ServiceID{
+			Fleet:   k.Fleet,
+			Service: k.Service,
+		},
+		Idempotency: k.Idempotency,
+	}
+}
+
+// Head begins an answer.
+type Head struct {
+	Status      int    `cbor:"1,keyasint"`
+	ContentType string `cbor:"2,keyasint"`
+}
+
+// End closes a whole answer.
+type End struct {
+	// Length and Sum are the length in bytes and the xxh3 hash of all Data.
+	Length uint64 `cbor:"1,keyasint"`
+	Sum    uint64 `cbor:"2,keyasint"`
+}
+
+// Reason tells why an attempt was refused or failed.
+type Reason string
+
+// The reasons of refusals and failures.
+const (
+	ReasonFull     Reason = "full"
+	ReasonDraining Reason = "draining"
+	ReasonExpired  Reason = "expired"
+	ReasonUpstream Reason = "wrong-upstream"
+	ReasonBarred   Reason = "barred"
+	ReasonDown     Reason = "engine-down"
+	ReasonFailed   Reason = "engine-failed"
+	ReasonMismatch Reason = "engine-mismatch"
+)
+
+// Refusal ends an attempt that the engine has not seen and never will.
+type Refusal struct {
+	Reason Reason        `cbor:"1,keyasint"`
+	Retry  time.Duration `cbor:"2,keyasint,omitempty"`
+}
+
+// Failure ends an attempt that the engine may have run.
+type Failure struct {
+	Reason Reason `cbor:"1,keyasint"`
+}
--- /dev/null
+++ b/upstream/server.go
@@ -0,0 +1,279 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/booking"
+	"github.com/foxtailstack/foxtailstack/timeline"
+	"github.com/foxtailstack/foxtailstack/wire"
+	"github.com/zeebo/xxh3"
+)
+
+const (
+	// reservation is how long a reserved attempt waits for Run.
+	reservation = 5 * time.Second
+	// chunkSize is the size of the largest piece of an answer in bytes.
+	chunkSize = 16 << 10
+	// maxAnswer is the length of the longest recorded answer in bytes.
+	maxAnswer = 256 << 10
+	// finishTimeout bounds one write of an answer to the record.
+	finishTimeout = 2 * time.Second
+	// finishRetry is the time between two writes of an answer to the record.
+	finishRetry = 500 * time.Millisecond
+)
+
+// Events of the sidecar.
+const (
+	EventRun      timeline.Kind = "attempt-run"
+	EventEnd      timeline.Kind = "attempt-end"
+	EventRefuse   timeline.Kind = "attempt-refuse"
+	EventFail     timeline.Kind = "attempt-fail"
+	EventMismatch timeline.Kind = "engine-mismatch"
+)
+
+// Server serves the attempts on one upstream.
+type Server struct {
+	// Upstream is the name of the upstream's resource.
+	Upstream    string
+	Incarnation foxtailstack.Incarnation
+	Engine      foxtailstack.Engine
+	Gate        *Gate
+	Ledger      *booking.Ledger
+	Recorder    booking.Recorder
+	Ring        *timeline.Ring
+}
+
+// ServeAttempt is the handler of StreamAttempt.
+func (s *Server) ServeAttempt(ctx context.Context, stream *wire.Stream) {
+	var frame Frame
+	err := stream.Receive(&frame)
+	if err != nil || frame.Open == nil {
+		stream.Cancel()
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, frame.Open.Left)
+	defer cancel()
+	a := attempt{
+		server: s,
+		stream: stream,
+		id:     frame.Attempt,
+		open:   frame.Open,
+	}
+	a.serve(ctx, cancel)
+}
+
+// attempt is one attempt on the upstream.
+type attempt struct {
+	server *Server
+	stream *wire.Stream
+	id     foxtailstack.AttemptID
+	open   *Open
+	run    *Run
+	// answer is kept of a non-idempotent attempt.
+	answer booking.Answer
+}
+
+// serve admits and runs the attempt.
+func (a *attempt) serve(ctx context.Context, cancel context.CancelFunc) {
+	if a.open.Upstream != a.server.Upstream {
+		a.refuse(ReasonUpstream)
+		return
+	}
+	if a.open.Left <= 0 {
+		a.refuse(ReasonExpired)
+		return
+	}
+	err := a.server.Gate.Enter()
+	if err != nil {
+		a.refuse(gateReason(err))
+		return
+	}
+	defer a.server.Gate.Leave()
+	if a.open.Reserve {
+		if !a.reserve() {
+			return
+		}
+		// A non-idempotent attempt that has started is finished in any case.
+		ctx = context.WithoutCancel(ctx)
+	} else {
+		go a.watch(cancel)
+	}
+	a.execute(ctx)
+}
+
+// reserve waits until the entry lets the attempt start.
+func (a *attempt) reserve() bool {
+	err := a.server.Ledger.Reserve(a.id, reservation)
+	if err != nil {
+		a.refuse(ReasonBarred)
+		return false
+	}
+	err = a.send(Frame{Reserved: &Reserved{Incarnation: a.server.Incarnation}})
+	if err != nil {
+		a.server.Ledger.Bar(a.id)
+		return false
+	}
+	_ = a.stream.SetReadDeadline(time.Now().Add(reservation))
+	var frame Frame
+	err = a.stream.Receive(&frame)
+	if err != nil || frame.Run == nil || frame.Run.Claim.Incarnation != a.server.Incarnation {
+		a.server.Ledger.Bar(a.id)
+		a.refuse(ReasonExpired)
+		return false
+	}
+	a.run = frame.Run
+	err = a.server.Ledger.Start(a.id)
+	if err != nil {
+		a.refuse(ReasonBarred)
+		return false
+	}
+	return true
+}
+
+// watch cancels the attempt once the entry goes away.
+func (a *attempt) watch(cancel context.CancelFunc) {
+	var frame Frame
+	_ = a.stream.Receive(&frame) // the entry sends nothing more
+	cancel()
+}
+
+// execute runs the attempt on the engine and sends the answer.
+func (a *attempt) execute(ctx context.Context) {
+	a.record(EventRun, "")
+	call := foxtailstack.EngineCall{
+		Attempt:     a.id,
+		Team:        a.open.Team,
+		Path:        a.open.Path,
+		ContentType: a.open.ContentType,
+		Body:        a.open.Body,
+		Priority:    a.open.Priority,
+		Stream:      a.open.Stream,
+		Resume:      a.open.Resume,
+	}
+	if a.run != nil {
+		call.Fencing = a.run.Number
+	}
+	answer, err := a.server.Engine.Run(ctx, call)
+	if err == nil {
+		err = a.copy(answer)
+	}
+	a.finish(err)
+	switch {
+	case err == nil:
+		a.record(EventEnd, "")
+	case errors.Is(err, foxtailstack.ErrEngineRefused) && a.run == nil:
+		a.refuse(ReasonDown)
+	case errors.Is(err, foxtailstack.ErrEngineMismatch):
+		a.record(EventMismatch, err.Error())
+		a.fail(ReasonMismatch)
+	default:
+		a.fail(ReasonFailed)
+	}
+}
+
+// copy sends the answer of the engine on.
+func (a *attempt) copy(answer foxtailstack.EngineAnswer) error {
+	defer answer.Body.Close()
+	a.answer.Status = answer.Status
+	a.answer.ContentType = answer.ContentType
+	lost := a.send(Frame{Head: &Head{
+		Status:      answer.Status,
+		ContentType: answer.ContentType,
+	}})
+	sum := xxh3.New()
+	length := uint64(0)
+	buffer := make([]byte, chunkSize)
+	for {
+		n, err := answer.Body.Read(buffer)
+		if n > 0 {
+			_, _ = sum.Write(buffer[:n]) // never fails
+			length += uint64(n)
+			if a.run != nil && len(a.answer.Body)+n <= maxAnswer {
+				a.answer.Body = append(a.answer.Body, buffer[:n]...)
+			}
+			if lost == nil {
+				lost = a.send(Frame{Data: buffer[:n]})
+			}
+			if lost != nil && a.run == nil {
+				return lost
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return engineError(err)
+		}
+	}
+	if lost != nil && a.run == nil {
+		return lost
+	}
+	if lost == nil {
+		_ = a.send(Frame{End: &End{
+			Length: length,
+			Sum:    sum.Sum64(),
+		}})
+	}
+	return nil
+}
+
+// finish records how a non-idempotent attempt ended.
+func (a *attempt) finish(err error) {
+	if a.run == nil {
+		return
+	}
+	a.server.Ledger.Finish(a.id, a.answer, err == nil)
+	if err != nil {
+		return
+	}
+	digest := booking.DigestOf(a.open.Body)
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+		err = a.server.Recorder.Finish(ctx, a.run.Key.Key(), digest, a.run.Claim, a.run.Number, a.answer)
+		cancel()
+		if !errors.Is(err, booking.ErrUnavailable) {
+			return
+		}
+		time.Sleep(finishRetry)
+	}
+}
+
+// send sends a frame of the attempt.
+func (a *attempt) send(frame Frame) error {
+	frame.Attempt = a.id
+	return a.stream.Send(frame)
+}
+
+// refuse ends an attempt that the engine has not seen.
+func (a *attempt) refuse(reason Reason) {
+	a.record(EventRefuse, string(reason))
+	_ = a.send(Frame{Refusal: &Refusal{Reason: reason}})
+}
+
+// fail ends an attempt that the engine may have run.
+func (a *attempt) fail(reason Reason) {
+	a.record(EventFail, string(reason))
+	_ = a.send(Frame{Failure: &Failure{Reason: reason}})
+}
+
+// record records an event of the attempt.
+func (a *attempt) record(kind timeline.Kind, text string) {
+	a.server.Ring.Record(timeline.Event{
+		Kind:     kind,
+		Attempt:  a.id.String(),
+		Upstream: a.server.Upstream,
+		Text:     text,
+	})
+}
+
+// gateReason returns the reason that stands for an error of the gate.
+func gateReason(err error) Reason {
+	if errors.Is(err, ErrDraining) {
+		return ReasonDraining
+	}
+	return ReasonFull
+}
--- /dev/null
+++ b/wire/message.go
@@ -0,0 +1,99 @@
+package wire
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// MaxMessage is the length of the longest message in bytes.
+const MaxMessage = 1 << 20
+
+// lengthSize is the size of the length before a message in bytes.
+const lengthSize = 4
+
+// Errors of this package. Test for them with errors.Is.
+var (
+	// ErrTooLong means that a message is longer than MaxMessage.
+	ErrTooLong = errors.New("message too long")
+	// ErrMalformed means that a message is not what the receiver expects.
+	ErrMalformed = errors.New("malformed message")
+	// ErrClosed means that the peer or the process has closed the stream.
+	ErrClosed = errors.New("stream closed")
+	// ErrUnreachable means that no connection to the peer could be made, so
+	// that the peer has seen nothing of the exchange.
+	ErrUnreachable = errors.New("peer unreachable")
+)
+
+// decMode refuses messages that no process of the system writes.
+var decMode = mustDecMode()
+
+// mustDecMode returns the decoding mode; the options are constant and valid.
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxNestedLevels:  16,
+		MaxArrayElements: 1 << 16,
+		MaxMapPairs:      1 << 16,
+		IndefLength:      cbor.IndefLengthForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Marshal returns the encoding of v without a length.
+func Marshal(v any) ([]byte, error) {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return data, nil
+}
+
+// Unmarshal decodes one message without a length into v.
+func Unmarshal(data []byte, v any) error {
+	err := decMode.Unmarshal(data, v)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return nil
+}
+
+// Write writes v behind its length to w, in one call of w.Write.
+func Write(w io.Writer, v any) error {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if len(data) > MaxMessage {
+		return fmt.Errorf("%w: %d bytes", ErrTooLong, len(data))
+	}
+	framed := make([]byte, lengthSize, lengthSize+len(data))
+	binary.BigEndian.PutUint32(framed, uint32(len(data)))
+	_, err = w.Write(append(framed, data...))
+	return err
+}
+
+// Read reads one message with its length from r into v.
+func Read(r io.Reader, v any) error {
+	var length [lengthSize]byte
+	_, err := io.ReadFull(r, length[:])
+	if err != nil {
+		return err
+	}
+	n := binary.BigEndian.Uint32(length[:])
+	if n > MaxMessage {
+		return fmt.Errorf("%w: %d bytes", ErrTooLong, n)
+	}
+	data := make([]byte, n)
+	_, err = io.ReadFull(r, data)
+	if err != nil {
+		return fmt.Errorf("%w: cut short: %w", ErrMalformed, err)
+	}
+	return Unmarshal(data, v)
+}
--- /dev/null
+++ b/wire/mux.go
@@ -0,0 +1,117 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+)
+
+const (
+	// protocol is the name that both ends agree on in the handshake.
+	protocol = "foxtailstack/1"
+
+	keepAlive      = 2 * time.Second
+	idleTimeout    = 6 * time.Second
+	helloTimeout   = 5 * time.Second
+	connectTimeout = 2 * time.Second
+
+	maxStreams = 1 << 16
+)
+
+// quicConfig returns the settings of a connection.
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		MaxIdleTimeout:        idleTimeout,
+		KeepAlivePeriod:       keepAlive,
+		HandshakeIdleTimeout:  connectTimeout,
+		MaxIncomingStreams:    maxStreams,
+		MaxIncomingUniStreams: -1,
+	}
+}
+
+// Handler serves one stream. The stream is finished when it returns.
+type Handler func(ctx context.Context, s *Stream)
+
+// Mux listens on one address and hands streams to the handlers of their kinds.
+// The zero value is ready for Handle.
+type Mux struct {
+	handlers map[Kind]Handler
+	listener *quic.Listener
+	conns    sync.WaitGroup
+}
+
+// Handle registers the handler of a kind. It must not be called after Listen.
+func (m *Mux) Handle(kind Kind, h Handler) {
+	if m.handlers == nil {
+		m.handlers = map[Kind]Handler{}
+	}
+	m.handlers[kind] = h
+}
+
+// Listen binds address and returns the address bound. cfg must ask for the
+// certificates of clients.
+func (m *Mux) Listen(address string, cfg *tls.Config) (net.Addr, error) {
+	own := cfg.Clone()
+	own.NextProtos = []string{protocol}
+	listener, err := quic.ListenAddr(address, own, quicConfig())
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	m.listener = listener
+	return listener.Addr(), nil
+}
+
+// Serve accepts connections until ctx ends and then closes all of them.
+func (m *Mux) Serve(ctx context.Context) error {
+	defer m.conns.Wait()
+	defer m.listener.Close()
+	for {
+		conn, err := m.listener.Accept(ctx)
+		if errors.Is(err, context.Canceled) || errors.Is(err, quic.ErrServerClosed) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept connection: %w", err)
+		}
+		m.conns.Go(func() { m.serveConn(ctx, conn) })
+	}
+}
+
+// serveConn accepts the streams of one connection.
+func (m *Mux) serveConn(ctx context.Context, conn *quic.Conn) {
+	defer func() { _ = conn.CloseWithError(codeClosed, "") }()
+	for {
+		s, err := conn.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		go m.serveStream(ctx, conn, s)
+	}
+}
+
+// serveStream reads the kind of a stream and runs its handler. The context of
+// the handler ends with the connection.
+func (m *Mux) serveStream(ctx context.Context, conn *quic.Conn, q *quic.Stream) {
+	s := newStream(q)
+	_ = s.SetReadDeadline(time.Now().Add(helloTimeout))
+	var first hello
+	err := s.Receive(&first)
+	handler, known := m.handlers[first.Kind]
+	if err != nil || !known {
+		s.Cancel()
+		return
+	}
+	_ = s.SetReadDeadline(time.Time{})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(conn.Context(), cancel)
+	defer stop()
+	handler(ctx, s)
+	s.finish()
+}
