--- /dev/null
+++ b/command/measure.go
@@ -0,0 +1,48 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/foxtailstack/foxtailstack/measure"
+	"github.com/spf13/cobra"
+)
+
+// newMeasure returns the command that runs experiments.
+func newMeasure() *cobra.Command {
+	var seed uint64
+	var asJSON bool
+	cmd := &cobra.Command{
+		Use:       "measure experiment",
+		Short:     "Run an experiment on the decisions of the system",
+		Example:   "  foxtailstack measure expert --seed 1",
+		Args:      cobra.ExactArgs(1),
+		ValidArgs: measure.Names(),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			report := reporter(cmd.OutOrStdout(), asJSON)
+			return measure.Run(cmd.Context(), args[0], measure.Options{
+				Seed:   seed,
+				Report: report,
+			})
+		},
+	}
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the run")
+	cmd.Flags().BoolVar(&asJSON, "json", false, "write one JSON object a line")
+	return cmd
+}
+
+// reporter returns a function that writes lines of results to out.
+func reporter(out io.Writer, asJSON bool) func(measure.Line) error {
+	return func(line measure.Line) error {
+		if !asJSON {
+			_, err := fmt.Fprintln(out, line)
+			return err
+		}
+		object := map[string]any{}
+		for _, field := range line {
+			object[field.Key] = field.Value
+		}
+		return json.NewEncoder(out).Encode(object)
+	}
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
-	"github.com/foxtailstack/foxtailstack/booking"
 	"github.com/foxtailstack/foxtailstack/fleet"
 	"github.com/foxtailstack/foxtailstack/upstream"
 	"github.com/foxtailstack/foxtailstack/wire"
@@ -68,46 +67,6 @@
 	return a.receive(out)
 }
 
-// claim waits for the reservation, claims the booking's key and lets the
-// attempt start.
-func (a *attempt) claim(ctx context.Context, s *Server) error {
-	frame, err := a.next()
-	if err != nil {
-		return err
-	}
-	if frame.Reserved == nil {
-		return notRun(upstream.ReasonBarred, 0, ErrBroken)
-	}
-	claim := booking.Claim{
-		Attempt:     a.id,
-		Upstream:    a.member.ID.String(),
-		Address:     a.member.Address,
-		Incarnation: frame.Reserved.Incarnation,
-	}
-	key := a.request.bookingKey()
-	number, err := s.Recorder.Claim(ctx, key, booking.DigestOf(a.request.body), claim, a.request.replaces)
-	if err != nil {
-		return notRun(upstream.ReasonBarred, 0, err)
-	}
-	err = a.stream.Send(upstream.Frame{
-		Attempt: a.id,
-		Run: &upstream.Run{
-			Key: upstream.BookingKey{
-				Team:        key.Team,
-				Fleet:       key.Service.Fleet,
-				Service:     key.Service.Service,
-				Idempotency: key.Idempotency,
-			},
-			Claim:  claim,
-			Number: number,
-		},
-	})
-	if err != nil {
-		return unknown(upstream.ReasonFailed, err)
-	}
-	return nil
-}
-
 // receive hands the answer to out until its last frame.
 func (a *attempt) receive(out sink) error {
 	for {
--- /dev/null
+++ b/entry/choose.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/fleet"
+)
+
+// bytesPerToken estimates the length of a token of a prompt in bytes.
+const bytesPerToken = 4
+
+// Query asks for an upstream for one attempt.
+type Query struct {
+	Service fleet.ServiceID
+	// Prompt is the body of the request, whose prefix decides cache affinity.
+	Prompt []byte
+	// Tried are the upstreams of the attempts before, to be avoided.
+	Tried []foxtailstack.UpstreamName
+}
+
+// Result is how an attempt went.
+type Result struct {
+	Outcome foxtailstack.Outcome
+	// Refused is set if the sidecar itself refused the attempt.
+	Refused bool
+	// Latency is the time of the whole attempt.
+	Latency time.Duration
+}
+
+// Chooser picks upstreams and learns how attempts on them went.
+type Chooser interface {
+	// Choose returns an upstream, or false if none takes new work.
+	Choose(ctx context.Context, q Query) (fleet.Member, bool)
+	// Report tells how the attempt on a chosen upstream went.
+	Report(member fleet.Member, result Result)
+}
+
+// Limiter holds teams to their limits.
+type Limiter interface {
+	// Admit takes cost from what the team may spend. If the team is over its
+	// limit, it returns false and when to come back.
+	Admit(name foxtailstack.TeamName, cost foxtailstack.Tokens) (retry time.Duration, ok bool)
+}
+
+// resultOf returns the result of an attempt that ended with err.
+func resultOf(err error, latency time.Duration) Result {
+	result := Result{
+		Outcome: foxtailstack.Ran,
+		Latency: latency,
+	}
+	var failed *AttemptError
+	if errors.As(err, &failed) {
+		result.Outcome = failed.Outcome
+		result.Refused = failed.Outcome == foxtailstack.NotRun && failed.Err == nil
+	}
+	return result
+}
+
+// costOf estimates the tokens of a request before it runs.
+func costOf(req *request) foxtailstack.Tokens {
+	return foxtailstack.Tokens(len(req.body)/bytesPerToken + 1)
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -15,7 +14,6 @@
 	"github.com/foxtailstack/foxtailstack/fleet"
 	"github.com/foxtailstack/foxtailstack/team"
 	"github.com/foxtailstack/foxtailstack/timeline"
-	"github.com/foxtailstack/foxtailstack/upstream"
 	"github.com/foxtailstack/foxtailstack/wire"
 )
 
@@ -43,6 +41,8 @@
 	Client   *wire.Client
 	Recorder booking.Recorder
 	Ring     *timeline.Ring
+	Chooser  Chooser
+	Limiter  Limiter
 }
 
 // Routes adds the routes of the caller API to mux.
@@ -57,6 +57,13 @@
 		problem.write(w)
 		return
 	}
+	retry, ok := s.Limiter.Admit(req.team, costOf(req))
+	if !ok {
+		limited := refuse(http.StatusTooManyRequests, "the team is over its limit")
+		limited.retry = retry
+		limited.write(w)
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), req.timeLeft())
 	defer cancel()
 	out := &response{
@@ -130,11 +137,17 @@
 		req.replaces = version
 	}
 	var last error = notRun("", 0, ErrNoUpstream)
+	var tried []foxtailstack.UpstreamName
 	for range req.attempts() {
-		member, ok := s.choose(req)
+		member, ok := s.Chooser.Choose(ctx, Query{
+			Service: req.id,
+			Prompt:  req.body,
+			Tried:   tried,
+		})
 		if !ok {
 			break
 		}
+		tried = append(tried, member.ID.Upstream)
 		a := &attempt{
 			id:      foxtailstack.NewAttemptID(),
 			request: req,
@@ -145,7 +158,9 @@
 			Attempt:  a.id.String(),
 			Upstream: member.ID.String(),
 		})
+		began := time.Now()
 		last = a.run(ctx, s, out)
+		s.Chooser.Report(member, resultOf(last, time.Since(began)))
 		if last == nil || !retryable(req, last, out) || ctx.Err() != nil {
 			break
 		}
@@ -153,60 +168,6 @@
 	return last
 }
 
-// repeat answers a booking that has been recorded before. It reports whether
-// the request needs no attempt, and otherwise the version of the record that an
-// attempt may replace.
-func (s *Server) repeat(ctx context.Context, req *request, out *response) (bool, foxtailstack.Version, error) {
-	record, found, err := s.Recorder.Lookup(ctx, req.bookingKey())
-	if err != nil {
-		return false, 0, notRun("", 0, err)
-	}
-	if !found {
-		return false, 0, nil
-	}
-	if record.Digest != booking.DigestOf(req.body) {
-		return false, 0, notRun(upstream.ReasonBarred, 0, booking.ErrMismatch)
-	}
-	if record.State == booking.Done {
-		return true, 0, out.whole(record.Answer)
-	}
-	finding, err := s.inquire(ctx, record.Claim)
-	if err != nil {
-		return false, 0, unknown(upstream.ReasonDown, err)
-	}
-	switch finding.Outcome {
-	case foxtailstack.Ran:
-		return true, 0, out.whole(finding.Answer)
-	case foxtailstack.NotRun:
-		return false, record.Version, nil
-	}
-	return false, 0, unknown(upstream.ReasonFailed, booking.ErrClaimed)
-}
-
-// inquire asks the sidecar that a claim names how the attempt went.
-func (s *Server) inquire(ctx context.Context, claim booking.Claim) (booking.Finding, error) {
-	var finding booking.Finding
-	err := s.Client.Call(ctx, claim.Address, booking.StreamInquiry, booking.Inquiry{
-		Attempt:     claim.Attempt,
-		Incarnation: claim.Incarnation,
-	}, &finding)
-	return finding, err
-}
-
-// choose returns an upstream of the service that takes new work.
-func (s *Server) choose(req *request) (fleet.Member, bool) {
-	var members []fleet.Member
-	for _, member := range s.Replica.Snapshot().Upstreams[req.id] {
-		if !member.Drain {
-			members = append(members, member)
-		}
-	}
-	if len(members) == 0 {
-		return fleet.Member{}, false
-	}
-	return members[rand.IntN(len(members))], true
-}
-
 // retryable reports whether another attempt may follow err.
 func retryable(req *request, err error, out *response) bool {
 	var failed *AttemptError
--- a/node/entry.go
+++ b/node/entry.go
@@ -5,11 +5,13 @@
 	"net"
 
 	"github.com/alexedwards/flow"
+	"github.com/foxtailstack/foxtailstack/balance"
 	"github.com/foxtailstack/foxtailstack/booking"
 	"github.com/foxtailstack/foxtailstack/entry"
 	"github.com/foxtailstack/foxtailstack/fleet"
 	"github.com/foxtailstack/foxtailstack/keys"
 	"github.com/foxtailstack/foxtailstack/settings"
+	"github.com/foxtailstack/foxtailstack/team"
 	"go.uber.org/zap"
 )
 
@@ -41,6 +43,8 @@
 		Client:   e.client,
 		Recorder: booking.Recorder{Table: e.table},
 		Ring:     e.ring,
+		Chooser:  &balance.Chooser{Replica: e.replica},
+		Limiter:  &team.Limiter{},
 	}
 	callers.Routes(e.handler)
 	operators := &fleet.API{
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -1,8 +1,12 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"sync"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
 )
 
 // Errors of the Gate. Test for them with errors.Is.
@@ -13,6 +17,23 @@
 	ErrDraining = errors.New("upstream is draining")
 )
 
+// Ticket is a call that asks for a slot.
+type Ticket struct {
+	Team     foxtailstack.TeamName
+	Priority foxtailstack.Priority
+	// Left is the time left until the call's deadline.
+	Left time.Duration
+}
+
+// Load is what the gate knows of its queue.
+type Load struct {
+	Running int `cbor:"1,keyasint"`
+	Queued  int `cbor:"2,keyasint"`
+	Slots   int `cbor:"3,keyasint"`
+	// Wait is the expected wait of a call that comes now.
+	Wait time.Duration `cbor:"4,keyasint"`
+}
+
 // Gate counts the calls that run on the engine and refuses those beyond its
 // slots.
 type Gate struct {
@@ -39,7 +60,7 @@
 }
 
 // Enter takes a slot. It returns ErrFull or ErrDraining if it takes none.
-func (g *Gate) Enter() error {
+func (g *Gate) Enter(_ context.Context, _ Ticket) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.draining {
@@ -75,3 +96,13 @@
 	}
 	return g.idle
 }
+
+// Load returns the present load.
+func (g *Gate) Load() Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Load{
+		Running: g.running,
+		Slots:   g.slots,
+	}
+}
--- a/upstream/server.go
+++ b/upstream/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"time"
 
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/booking"
@@ -14,16 +13,10 @@
 )
 
 const (
-	// reservation is how long a reserved attempt waits for Run.
-	reservation = 5 * time.Second
 	// chunkSize is the size of the largest piece of an answer in bytes.
 	chunkSize = 16 << 10
 	// maxAnswer is the length of the longest recorded answer in bytes.
 	maxAnswer = 256 << 10
-	// finishTimeout bounds one write of an answer to the record.
-	finishTimeout = 2 * time.Second
-	// finishRetry is the time between two writes of an answer to the record.
-	finishRetry = 500 * time.Millisecond
 )
 
 // Events of the sidecar.
@@ -87,7 +80,11 @@
 		a.refuse(ReasonExpired)
 		return
 	}
-	err := a.server.Gate.Enter()
+	err := a.server.Gate.Enter(ctx, Ticket{
+		Team:     a.open.Team,
+		Priority: a.open.Priority,
+		Left:     a.open.Left,
+	})
 	if err != nil {
 		a.refuse(gateReason(err))
 		return
@@ -105,35 +102,6 @@
 	a.execute(ctx)
 }
 
-// reserve waits until the entry lets the attempt start.
-func (a *attempt) reserve() bool {
-	err := a.server.Ledger.Reserve(a.id, reservation)
-	if err != nil {
-		a.refuse(ReasonBarred)
-		return false
-	}
-	err = a.send(Frame{Reserved: &Reserved{Incarnation: a.server.Incarnation}})
-	if err != nil {
-		a.server.Ledger.Bar(a.id)
-		return false
-	}
-	_ = a.stream.SetReadDeadline(time.Now().Add(reservation))
-	var frame Frame
-	err = a.stream.Receive(&frame)
-	if err != nil || frame.Run == nil || frame.Run.Claim.Incarnation != a.server.Incarnation {
-		a.server.Ledger.Bar(a.id)
-		a.refuse(ReasonExpired)
-		return false
-	}
-	a.run = frame.Run
-	err = a.server.Ledger.Start(a.id)
-	if err != nil {
-		a.refuse(ReasonBarred)
-		return false
-	}
-	return true
-}
-
 // watch cancels the attempt once the entry goes away.
 func (a *attempt) watch(cancel context.CancelFunc) {
 	var frame Frame
@@ -221,27 +189,6 @@
 	return nil
 }
 
-// finish records how a non-idempotent attempt ended.
-func (a *attempt) finish(err error) {
-	if a.run == nil {
-		return
-	}
-	a.server.Ledger.Finish(a.id, a.answer, err == nil)
-	if err != nil {
-		return
-	}
-	digest := booking.DigestOf(a.open.Body)
-	for {
-		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
-		err = a.server.Recorder.Finish(ctx, a.run.Key.Key(), digest, a.run.Claim, a.run.Number, a.answer)
-		cancel()
-		if !errors.Is(err, booking.ErrUnavailable) {
-			return
-		}
-		time.Sleep(finishRetry)
-	}
-}
-
 // send sends a frame of the attempt.
 func (a *attempt) send(frame Frame) error {
 	frame.Attempt = a.id
