--- a/command/root.go
+++ b/command/root.go
@@ -34,7 +34,7 @@
 		return ExitOK
 	}
 	fmt.Fprintf(stderr, "foxtailstack: %v\n", err)
-	if errors.Is(err, errUsage) {
+	if isUsage(err) {
 		return ExitUsage
 	}
 	return ExitFailure
@@ -50,7 +50,7 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
 	root.AddCommand(newEntry(), newSidecar(), newStandin(), newDemo(), newKeys())
-	root.AddCommand(newApply(), newGet(), newMeasure())
+	root.AddCommand(newApply(), newGet(), newMeasure(), newCheck(), newVersion())
 	return root
 }
 
--- a/command/run.go
+++ b/command/run.go
@@ -21,7 +21,7 @@
 		Example: "  foxtailstack entry --settings entry.toml",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			cfg, config, log, err := prepare(cmd.Context(), path, cmd.ErrOrStderr())
+			cfg, config, log, err := prepare(cmd.Context(), path, foxtailstack.RoleEntry, cmd.ErrOrStderr())
 			if err != nil {
 				return err
 			}
@@ -45,7 +45,7 @@
 		Example: "  foxtailstack sidecar --settings sidecar.toml",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			cfg, config, log, err := prepare(cmd.Context(), path, cmd.ErrOrStderr())
+			cfg, config, log, err := prepare(cmd.Context(), path, foxtailstack.RoleSidecar, cmd.ErrOrStderr())
 			if err != nil {
 				return err
 			}
@@ -86,10 +86,15 @@
 }
 
 // prepare reads the settings of a process and opens its log.
-func prepare(ctx context.Context, path string, stderr io.Writer) (settings.Settings, keys.Config, *zap.Logger, error) {
-	cfg, err := settings.Load(path)
+func prepare(
+	ctx context.Context,
+	path string,
+	role foxtailstack.Role,
+	stderr io.Writer,
+) (settings.Settings, keys.Config, *zap.Logger, error) {
+	cfg, err := settings.Load(path, role)
 	if err != nil {
-		return cfg, keys.Config{}, nil, usage(err)
+		return cfg, keys.Config{}, nil, err
 	}
 	log, err := node.NewLog(stderr, cfg.Log.Level)
 	if err != nil {
