--- a/node/entry.go
+++ b/node/entry.go
@@ -75,6 +75,7 @@
 		Replica: e.replica,
 	}
 	go poller.Run(background)
+	go e.serveStatus(background, func() bool { return e.replica.Snapshot().Revision > 0 })
 	go func() { _ = e.mux.Serve(background) }()
 	err := serveHTTP(ctx, e.listener, e.handler, e.grace())
 	e.client.Close()
--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,7 @@
 	client   *wire.Client
 	mux      wire.Mux
 	peers    net.Addr
+	status   net.Listener
 }
 
 // newBase connects a process to the platform and to its peers.
@@ -54,10 +55,15 @@
 	}
 }
 
-// listenPeers binds the address for other processes.
+// listenPeers binds the addresses for other processes and for the status.
 func (b *base) listenPeers(config keys.Config) error {
+	b.mux.Handle(timeline.StreamEvents, b.ring.ServeEvents)
 	addr, err := b.mux.Listen(string(b.settings.Listen.Peers), config.Peer)
+	if err != nil {
+		return err
+	}
 	b.peers = addr
+	b.status, err = listenStatus(b.settings.Listen.Status)
 	return err
 }
 
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -65,6 +65,7 @@
 		Replica: s.replica,
 	}
 	go poller.Run(background)
+	go s.serveStatus(background, func() bool { return s.replica.Snapshot().Revision > 0 })
 	go s.follow(background)
 	served := make(chan error, 1)
 	go func() { served <- s.mux.Serve(background) }()
