--- a/scenario/caller_test.go
+++ b/scenario/caller_test.go
@@ -46,8 +46,8 @@
 	}, nil
 }
 
-// apply declares the resources in a file. The upstreams in it have the
-// addresses of their sidecars.
+// apply declares the resources in a file. ADDRESS(NAME) in it becomes the
+// address of a link to the process.
 func (s *system) apply(ts *testscript.TestScript, args []string) error {
 	if len(args) == 0 {
 		return errUsage
@@ -58,7 +58,11 @@
 	}
 	text := ts.ReadFile(args[0])
 	for name := range s.processes {
-		text = strings.ReplaceAll(text, "ADDRESS("+name+")", s.peerAddress(name))
+		l, err := s.linkTo(name)
+		if err != nil {
+			return err
+		}
+		text = strings.ReplaceAll(text, "ADDRESS("+name+")", l.address())
 	}
 	path := filepath.Join(s.dir, "applied.toml")
 	err := os.WriteFile(path, []byte(text), 0o644)
@@ -173,6 +177,11 @@
 	return nil
 }
 
+// await waits until the engines have run a text a number of times.
+func (s *system) await(ts *testscript.TestScript, args []string) error {
+	return await(sendTimeout, func() bool { return s.expect(ts, args) == nil })
+}
+
 // executions counts the runs of a text over all engines that answer.
 func (s *system) executions(text string) (int, error) {
 	n := 0
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -18,10 +18,17 @@
 //	join NAME                        wait for a request in the background
 //	expect status|outcome|body TEXT  check the last answer
 //	expect ran TEXT N                check how often the engines ran a text
+//	await ran TEXT N                 wait until the engines have run a text
 //	outage on|off                    refuse all operations of the table
 //	slow DURATION                    delay all operations of the table
 //	lose N                           lose the answers of the next N commits
 //	faults ENGINE JSON               set the faults of an engine
+//	cut NAME, heal NAME              drop all packets between a process and its
+//	                                 peers, and let them pass again
+//	load [-to ENTRY] [-stream] [-booking] [-callers N] [-requests N]
+//	     NAME SERVICE JSON           send many requests in the background
+//	unload NAME [refused]            wait for a load; all must have run, or with
+//	                                 refused some may have been refused
 //
 // Every process that a script starts ends with the script.
 package scenario
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -57,7 +57,9 @@
 type system struct {
 	dir       string
 	processes map[string]*process
+	links     map[string]*link
 	answers   map[string]chan answer
+	loads     map[string]chan loadResult
 	last      answer
 }
 
@@ -70,7 +72,9 @@
 	return &system{
 		dir:       dir,
 		processes: map[string]*process{},
+		links:     map[string]*link{},
 		answers:   map[string]chan answer{},
+		loads:     map[string]chan loadResult{},
 	}, nil
 }
 
@@ -226,6 +230,9 @@
 
 // close ends all processes.
 func (s *system) close() {
+	for _, l := range s.links {
+		l.close()
+	}
 	for _, p := range s.processes {
 		_ = p.cmd.Process.Kill()
 		<-p.exited
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -32,6 +32,11 @@
 			"slow":   withSystem((*system).slow),
 			"lose":   withSystem((*system).lose),
 			"faults": withSystem((*system).engineFaults),
+			"await":  withSystem((*system).await),
+			"cut":    withSystem((*system).cut),
+			"heal":   withSystem((*system).heal),
+			"load":   withSystem((*system).load),
+			"unload": withSystem((*system).unload),
 		},
 		RequireUniqueNames: true,
 	})
