Run scenario scripts to their end

A command of testscript hides one of the same name in Params.Cmds. Its own stop ends a script early, as passed, so every script ended at its first stop and no process was ever stopped by one; its own kill knows no process here.

The commands are now shutdown and sigkill, and a test refuses scripts that use stop, kill or skip.

New commands: await, stopping, and expect retry.

--- a/scenario/caller_test.go
+++ b/scenario/caller_test.go
@@ -28,6 +28,7 @@
 type answer struct {
 	status  int
 	outcome string
+	retry   string
 	body    string
 	err     error
 }
@@ -137,6 +138,7 @@
 	return answer{
 		status:  response.StatusCode,
 		outcome: outcome,
+		retry:   response.Header.Get("Retry-After"),
 		body:    string(data),
 		err:     err,
 	}
@@ -164,6 +166,8 @@
 		ok = strconv.Itoa(s.last.status) == args[1]
 	case "outcome":
 		ok = s.last.outcome == args[1]
+	case "retry":
+		ok = (s.last.retry != "") == (args[1] == "yes")
 	case "body":
 		ok = strings.Contains(s.last.body, args[1])
 	}
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -8,8 +8,9 @@
 //	start engine NAME [fencing]      start an engine
 //	start sidecar UPSTREAM ENGINE    start the sidecar of an upstream
 //	start entry NAME                 start an entry
-//	stop NAME                        end a process by SIGTERM; it must exit with 0
-//	kill NAME                        end a process by SIGKILL
+//	shutdown NAME                    end a process by SIGTERM; it must exit with 0
+//	stopping NAME                    send SIGTERM and wait until it drains
+//	sigkill NAME                     end a process by SIGKILL
 //	freeze NAME, thaw NAME           stop and continue a process
 //	apply FILE [ENTRY]               declare resources and wait until in force
 //	send [-to ENTRY] [-key KEY] [-stream] [-bg NAME] SERVICE JSON
@@ -17,11 +18,16 @@
 //	                                 or with -bg that of NAME
 //	join NAME                        wait for a request in the background
 //	expect status|outcome|body TEXT  check the last answer
+//	expect retry yes|no              check whether it has a Retry-After
 //	expect ran TEXT N                check how often the engines ran a text
+//	await TEXT N                     wait until the engines began a text N times
 //	outage on|off                    refuse all operations of the table
 //	slow DURATION                    delay all operations of the table
 //	lose N                           lose the answers of the next N commits
 //	faults ENGINE JSON               set the faults of an engine
 //
+// The commands stop, kill and skip of testscript itself must not be used: stop
+// ends a script early, as passed.
+//
 // Every process that a script starts ends with the script.
 package scenario
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"path/filepath"
+	"regexp"
 	"testing"
 
 	"github.com/foxtailstack/foxtailstack/command"
@@ -19,24 +21,45 @@
 		Dir:   "testdata",
 		Setup: setup,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"start":  withSystem((*system).start),
-			"stop":   withSystem((*system).stop),
-			"kill":   withSystem((*system).kill),
-			"freeze": withSystem((*system).freeze),
-			"thaw":   withSystem((*system).thaw),
-			"apply":  withSystem((*system).apply),
-			"send":   withSystem((*system).send),
-			"join":   withSystem((*system).join),
-			"expect": withSystem((*system).expect),
-			"outage": withSystem((*system).outage),
-			"slow":   withSystem((*system).slow),
-			"lose":   withSystem((*system).lose),
-			"faults": withSystem((*system).engineFaults),
+			"start":    withSystem((*system).start),
+			"shutdown": withSystem((*system).stop),
+			"sigkill":  withSystem((*system).kill),
+			"freeze":   withSystem((*system).freeze),
+			"thaw":     withSystem((*system).thaw),
+			"apply":    withSystem((*system).apply),
+			"send":     withSystem((*system).send),
+			"join":     withSystem((*system).join),
+			"expect":   withSystem((*system).expect),
+			"outage":   withSystem((*system).outage),
+			"slow":     withSystem((*system).slow),
+			"lose":     withSystem((*system).lose),
+			"faults":   withSystem((*system).engineFaults),
+			"await":    withSystem((*system).await),
+			"stopping": withSystem((*system).stopping),
 		},
 		RequireUniqueNames: true,
 	})
 }
 
+// A command of testscript hides one of the same name in Params.Cmds: its own
+// stop ends a script early, as passed, and its own kill knows no process here.
+func TestScriptsRunToTheirEnd(t *testing.T) {
+	paths, err := filepath.Glob(filepath.Join("testdata", "*.txtar"))
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("got %d scripts, error %v", len(paths), err)
+	}
+	builtin := regexp.MustCompile(`(?m)^\s*(\[.*\]\s*)?(! )?(stop|kill|skip)\b.*$`)
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if line := builtin.Find(data); line != nil {
+			t.Errorf("%s: %q is a command of testscript", path, line)
+		}
+	}
+}
+
 // systemKey is the key of a script's system.
 type systemKey struct{}
 
