Let requests in progress finish on a planned stop

The sidecar closed its QUIC connections as soon as its gate was idle. What its handlers had sent but the peer not yet read was dropped: the new test of the mux received none of eight messages when the stop did not wait.

A stream now ends only when its peer has ended its own side, and the sidecar waits for the streams of attempts and inquiries before it closes. The entry refuses new requests in words while those in progress finish, instead of closing its listener at once. Both linger for half a second, so that who still sends gets a refusal and not a reset. A drain in the configuration closes the sidecar's own gate and opens it again.

The life of a process is a state machine; GET /ready of an entry answers from it.

--- a/entry/response.go
+++ b/entry/response.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,8 +13,18 @@
 	"github.com/foxtailstack/foxtailstack/upstream"
 )
 
-// defaultRetry is the time after which a refused caller may come back.
-const defaultRetry = time.Second
+const (
+	// defaultRetry is the time after which a refused caller may come back.
+	defaultRetry = time.Second
+	// minSpread is the shortest time over which refused callers come back.
+	minSpread = 2 * time.Second
+)
+
+// spread returns a time from retry upwards, so that callers who were refused
+// together do not come back together.
+func spread(retry time.Duration) time.Duration {
+	return retry + rand.N(max(retry, minSpread))
+}
 
 // problem is a refusal in the form of RFC 9457.
 type problem struct {
@@ -38,8 +49,11 @@
 func (p *problem) write(w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.Header().Set(HeaderOutcome, p.outcome.String())
+	if p.retry == 0 && p.Status == http.StatusServiceUnavailable {
+		p.retry = defaultRetry
+	}
 	if p.retry > 0 {
-		seconds := int((p.retry + time.Second - 1) / time.Second)
+		seconds := int((spread(p.retry) + time.Second - 1) / time.Second)
 		w.Header().Set("Retry-After", strconv.Itoa(seconds))
 	}
 	w.WriteHeader(p.Status)
--- a/entry/server.go
+++ b/entry/server.go
@@ -43,6 +43,8 @@
 	Ring     *timeline.Ring
 	Chooser  Chooser
 	Limiter  Limiter
+
+	door door
 }
 
 // Routes adds the routes of the caller API to mux.
@@ -52,6 +54,11 @@
 
 // serveCall serves one request of a caller.
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
+	if !s.door.enter() {
+		refuseStopping(w)
+		return
+	}
+	defer s.door.leave()
 	req, problem := s.parse(w, r)
 	if problem != nil {
 		problem.write(w)
@@ -76,6 +83,9 @@
 // parse returns the request, or the problem with it.
 func (s *Server) parse(w http.ResponseWriter, r *http.Request) (*request, *problem) {
 	snapshot := s.Replica.Snapshot()
+	if snapshot.Revision == 0 {
+		return nil, refuse(http.StatusServiceUnavailable, "the entry has no configuration yet")
+	}
 	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	name, ok := team.Caller(snapshot, token)
 	if !ok {
--- a/node/entry.go
+++ b/node/entry.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"time"
 
 	"github.com/alexedwards/flow"
 	"github.com/foxtailstack/foxtailstack/balance"
@@ -21,6 +23,7 @@
 	replica  *fleet.Replica
 	listener net.Listener
 	handler  *flow.Mux
+	callers  *entry.Server
 }
 
 // NewEntry binds the addresses of an entry.
@@ -38,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	callers := &entry.Server{
+	e.callers = &entry.Server{
 		Replica:  e.replica,
 		Client:   e.client,
 		Recorder: booking.Recorder{Table: e.table},
@@ -46,7 +49,8 @@
 		Chooser:  &balance.Chooser{Replica: e.replica},
 		Limiter:  &team.Limiter{},
 	}
-	callers.Routes(e.handler)
+	e.callers.Routes(e.handler)
+	e.handler.HandleFunc("/ready", e.serveReady, http.MethodGet)
 	operators := &fleet.API{
 		Store:   fleet.Store{Table: e.table},
 		Replica: e.replica,
@@ -75,9 +79,23 @@
 		Replica: e.replica,
 	}
 	go poller.Run(background)
+	go e.awaitConfig(background, e.replica)
 	go func() { _ = e.mux.Serve(background) }()
-	err := serveHTTP(ctx, e.listener, e.handler, e.grace())
+	err := serveHTTP(ctx, e.listener, e.handler, e.grace(), e.drain)
 	e.client.Close()
+	e.life.fire(stepStop)
 	e.log.Info("entry stopped")
 	return err
 }
+
+// drain refuses new requests and waits for those in progress.
+func (e *Entry) drain(ctx context.Context) error {
+	e.life.fire(stepDrain)
+	lingered := time.After(linger)
+	err := e.callers.Drain(ctx)
+	if err != nil {
+		return ErrGrace
+	}
+	<-lingered
+	return nil
+}
--- a/node/node.go
+++ b/node/node.go
@@ -5,11 +5,13 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/fleet"
 	"github.com/foxtailstack/foxtailstack/keys"
 	"github.com/foxtailstack/foxtailstack/platform"
 	"github.com/foxtailstack/foxtailstack/settings"
@@ -21,6 +23,9 @@
 const (
 	// defaultGrace is the time for requests in progress when stopping.
 	defaultGrace = 30 * time.Second
+	// linger is how long a process that stops goes on refusing new work in
+	// words, until those that send it have noticed.
+	linger = 500 * time.Millisecond
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 10 * time.Second
 	// maxHeader is the length of the longest header of a request in bytes.
@@ -30,6 +35,7 @@
 // base is what every process has.
 type base struct {
 	settings settings.Settings
+	life     *life
 	log      *zap.Logger
 	ring     *timeline.Ring
 	table    foxtailstack.Table
@@ -42,6 +48,7 @@
 func newBase(cfg settings.Settings, config keys.Config, log *zap.Logger) *base {
 	return &base{
 		settings: cfg,
+		life:     newLife(log),
 		log:      log,
 		ring:     &timeline.Ring{Instance: cfg.Name},
 		table: platform.NewDynamo(platform.Endpoint{
@@ -69,6 +76,32 @@
 	return defaultGrace
 }
 
+// awaitConfig makes the process ready once it has a configuration.
+func (b *base) awaitConfig(ctx context.Context, replica *fleet.Replica) {
+	for {
+		changed := replica.Changed()
+		if replica.Snapshot().Revision > 0 {
+			b.life.fire(stepServe)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// serveReady answers 200 if the process takes new work and 503 if not.
+func (b *base) serveReady(w http.ResponseWriter, _ *http.Request) {
+	phase := b.life.Phase()
+	w.Header().Set("Content-Type", "text/plain")
+	if phase != Serving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_, _ = io.WriteString(w, string(phase)+"\n") // the checker may be gone
+}
+
 // listenHTTP binds a TCP address, with TLS unless plain is set.
 func listenHTTP(address foxtailstack.Address, cfg *tls.Config, plain bool) (net.Listener, error) {
 	listener, err := net.Listen("tcp", string(address))
@@ -83,9 +116,15 @@
 	return tls.NewListener(listener, own), nil
 }
 
-// serveHTTP serves until ctx ends and then lets the requests in progress finish
-// within the grace period.
-func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, grace time.Duration) error {
+// serveHTTP serves until ctx ends and drain, unless it is nil, has returned. It
+// then lets the requests in progress finish within the grace period.
+func serveHTTP(
+	ctx context.Context,
+	listener net.Listener,
+	handler http.Handler,
+	grace time.Duration,
+	drain func(ctx context.Context) error,
+) error {
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
@@ -96,7 +135,11 @@
 		<-ctx.Done()
 		limited, cancel := context.WithTimeout(context.Background(), grace)
 		defer cancel()
-		stopped <- server.Shutdown(limited)
+		var err error
+		if drain != nil {
+			err = drain(limited)
+		}
+		stopped <- errors.Join(err, server.Shutdown(limited))
 	}()
 	err := server.Serve(listener)
 	if !errors.Is(err, http.ErrServerClosed) {
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -23,6 +23,7 @@
 	*base
 	replica *fleet.Replica
 	gate    *upstream.Gate
+	server  *upstream.Server
 }
 
 // NewSidecar binds the address of a sidecar.
@@ -32,7 +33,7 @@
 		replica: &fleet.Replica{},
 		gate:    upstream.NewGate(cfg.Upstream.Slots),
 	}
-	server := &upstream.Server{
+	s.server = &upstream.Server{
 		Upstream:    cfg.Upstream.Name,
 		Incarnation: foxtailstack.NewIncarnation(),
 		Engine:      upstream.NewHTTPEngine(cfg.Upstream.Engine),
@@ -41,10 +42,10 @@
 		Recorder:    booking.Recorder{Table: s.table},
 		Ring:        s.ring,
 	}
-	s.mux.Handle(upstream.StreamAttempt, server.ServeAttempt)
+	s.mux.Handle(upstream.StreamAttempt, s.server.ServeAttempt)
 	responder := booking.Responder{
-		Incarnation: server.Incarnation,
-		Ledger:      server.Ledger,
+		Incarnation: s.server.Incarnation,
+		Ledger:      s.server.Ledger,
 	}
 	s.mux.Handle(booking.StreamInquiry, responder.ServeInquiry)
 	return s, s.listenPeers(config)
@@ -66,6 +67,7 @@
 	}
 	go poller.Run(background)
 	go s.follow(background)
+	go s.awaitConfig(background, s.replica)
 	served := make(chan error, 1)
 	go func() { served <- s.mux.Serve(background) }()
 	select {
@@ -73,19 +75,36 @@
 		return err
 	case <-ctx.Done():
 	}
-	select {
-	case <-s.gate.Drain():
-	case <-time.After(s.grace()):
-		return ErrGrace
-	}
+	err := s.drain()
 	cancel()
-	err := <-served
+	err = errors.Join(err, <-served)
 	s.client.Close()
+	s.life.fire(stepStop)
 	s.log.Info("sidecar stopped")
 	return err
 }
 
-// follow keeps the gate as wide as the configuration says.
+// drain refuses new attempts and waits until those in progress have ended and
+// the entries have taken their answers.
+func (s *Sidecar) drain() error {
+	s.life.fire(stepDrain)
+	lingered := time.After(linger)
+	ctx, cancel := context.WithTimeout(context.Background(), s.grace())
+	defer cancel()
+	select {
+	case <-s.gate.Drain():
+	case <-ctx.Done():
+		return ErrGrace
+	}
+	<-lingered
+	err := s.mux.Drain(ctx, upstream.StreamAttempt, booking.StreamInquiry)
+	if err != nil {
+		return ErrGrace
+	}
+	return nil
+}
+
+// follow keeps the gate as wide as the configuration says, and open or shut.
 func (s *Sidecar) follow(ctx context.Context) {
 	id, err := fleet.ParseUpstreamID(s.settings.Upstream.Name)
 	if err != nil {
@@ -97,6 +116,7 @@
 		member, ok := s.replica.Snapshot().Upstreams[id.ServiceID][id.Upstream]
 		if ok {
 			s.gate.Resize(member.Slots)
+			s.server.SetDrain(member.Drain)
 		}
 		select {
 		case <-ctx.Done():
--- a/node/standin.go
+++ b/node/standin.go
@@ -48,11 +48,11 @@
 	n := 0
 	if s.platform != nil {
 		n++
-		go func() { results <- serveHTTP(ctx, s.platform, s.Platform.Handler(), defaultGrace) }()
+		go func() { results <- serveHTTP(ctx, s.platform, s.Platform.Handler(), defaultGrace, nil) }()
 	}
 	if s.engine != nil {
 		n++
-		go func() { results <- serveHTTP(ctx, s.engine, &s.Engine, defaultGrace) }()
+		go func() { results <- serveHTTP(ctx, s.engine, &s.Engine, defaultGrace, nil) }()
 	}
 	var first error
 	for range n {
--- a/upstream/server.go
+++ b/upstream/server.go
@@ -26,6 +26,7 @@
 	EventRefuse   timeline.Kind = "attempt-refuse"
 	EventFail     timeline.Kind = "attempt-fail"
 	EventMismatch timeline.Kind = "engine-mismatch"
+	EventDrain    timeline.Kind = "upstream-drain"
 )
 
 // Server serves the attempts on one upstream.
@@ -38,6 +39,8 @@
 	Ledger      *booking.Ledger
 	Recorder    booking.Recorder
 	Ring        *timeline.Ring
+
+	door door
 }
 
 // ServeAttempt is the handler of StreamAttempt.
@@ -80,6 +83,10 @@
 		a.refuse(ReasonExpired)
 		return
 	}
+	if a.server.door.closed.Load() {
+		a.refuse(ReasonDraining)
+		return
+	}
 	err := a.server.Gate.Enter(ctx, Ticket{
 		Team:     a.open.Team,
 		Priority: a.open.Priority,
@@ -97,18 +104,11 @@
 		// A non-idempotent attempt that has started is finished in any case.
 		ctx = context.WithoutCancel(ctx)
 	} else {
-		go a.watch(cancel)
+		a.stream.Watch(cancel) // the entry sends nothing more
 	}
 	a.execute(ctx)
 }
 
-// watch cancels the attempt once the entry goes away.
-func (a *attempt) watch(cancel context.CancelFunc) {
-	var frame Frame
-	_ = a.stream.Receive(&frame) // the entry sends nothing more
-	cancel()
-}
-
 // execute runs the attempt on the engine and sends the answer.
 func (a *attempt) execute(ctx context.Context) {
 	a.record(EventRun, "")
@@ -198,7 +198,11 @@
 // refuse ends an attempt that the engine has not seen.
 func (a *attempt) refuse(reason Reason) {
 	a.record(EventRefuse, string(reason))
-	_ = a.send(Frame{Refusal: &Refusal{Reason: reason}})
+	refusal := &Refusal{Reason: reason}
+	if reason == ReasonDraining {
+		refusal.Retry = drainRetry
+	}
+	_ = a.send(Frame{Refusal: refusal})
 }
 
 // fail ends an attempt that the engine may have run.
@@ -217,6 +221,15 @@
 	})
 }
 
+// record records an event of the upstream.
+func (s *Server) record(kind timeline.Kind, text string) {
+	s.Ring.Record(timeline.Event{
+		Kind:     kind,
+		Upstream: s.Upstream,
+		Text:     text,
+	})
+}
+
 // gateReason returns the reason that stands for an error of the gate.
 func gateReason(err error) Reason {
 	if errors.Is(err, ErrDraining) {
--- a/wire/mux.go
+++ b/wire/mux.go
@@ -20,6 +20,7 @@
 	idleTimeout    = 6 * time.Second
 	helloTimeout   = 5 * time.Second
 	connectTimeout = 2 * time.Second
+	finishTimeout  = 5 * time.Second
 
 	maxStreams = 1 << 16
 )
@@ -41,17 +42,40 @@
 // Mux listens on one address and hands streams to the handlers of their kinds.
 // The zero value is ready for Handle.
 type Mux struct {
-	handlers map[Kind]Handler
+	handlers map[Kind]*registration
 	listener *quic.Listener
 	conns    sync.WaitGroup
 }
 
+// registration is the handler of a kind with its streams in progress.
+type registration struct {
+	handler Handler
+	active  activity
+}
+
 // Handle registers the handler of a kind. It must not be called after Listen.
 func (m *Mux) Handle(kind Kind, h Handler) {
 	if m.handlers == nil {
-		m.handlers = map[Kind]Handler{}
+		m.handlers = map[Kind]*registration{}
+	}
+	m.handlers[kind] = &registration{handler: h}
+}
+
+// Drain waits until the streams of the given kinds have finished, so that their
+// peers have taken all that was sent, or until ctx ends. It takes no measures
+// against new streams.
+func (m *Mux) Drain(ctx context.Context, kinds ...Kind) error {
+	for _, kind := range kinds {
+		registered, ok := m.handlers[kind]
+		if !ok {
+			continue
+		}
+		err := registered.active.wait(ctx)
+		if err != nil {
+			return fmt.Errorf("drain streams of %s: %w", kind, err)
+		}
 	}
-	m.handlers[kind] = h
+	return nil
 }
 
 // Listen binds address and returns the address bound. cfg must ask for the
@@ -102,16 +126,18 @@
 	_ = s.SetReadDeadline(time.Now().Add(helloTimeout))
 	var first hello
 	err := s.Receive(&first)
-	handler, known := m.handlers[first.Kind]
+	registered, known := m.handlers[first.Kind]
 	if err != nil || !known {
 		s.Cancel()
 		return
 	}
 	_ = s.SetReadDeadline(time.Time{})
+	registered.active.begin()
+	defer registered.active.end()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(conn.Context(), cancel)
 	defer stop()
-	handler(ctx, s)
+	registered.handler(ctx, s)
 	s.finish()
 }
--- /dev/null
+++ b/wire/mux_test.go
@@ -0,0 +1,84 @@
+package wire_test
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/keys"
+	"github.com/foxtailstack/foxtailstack/wire"
+	"github.com/google/go-cmp/cmp"
+)
+
+// testConfig returns the TLS settings of processes on loopback.
+func testConfig(t *testing.T) keys.Config {
+	t.Helper()
+	authority, err := keys.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	pair, err := authority.Issue("test", "127.0.0.1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	config, err := keys.NewConfig(pair, authority.Cert)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return config
+}
+
+// A process that stops closes its connections. What its handlers sent before
+// must have reached the peer by then, however slowly the peer reads.
+func TestMuxDrainDeliversLastMessages(t *testing.T) {
+	const kind wire.Kind = "test"
+	const messages = 8
+	config := testConfig(t)
+	var mux wire.Mux
+	returned := make(chan struct{})
+	mux.Handle(kind, func(_ context.Context, s *wire.Stream) {
+		for i := range messages {
+			_ = s.Send(bytes.Repeat([]byte{byte(i)}, 16<<10))
+		}
+		close(returned)
+	})
+	addr, err := mux.Listen("127.0.0.1:0", config.Peer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- mux.Serve(ctx) }()
+	client := wire.NewClient(config.Peer)
+	defer client.Close()
+	s, err := client.Open(t.Context(), foxtailstack.Address(addr.String()), kind)
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-returned
+	go func() {
+		_ = mux.Drain(t.Context(), kind)
+		cancel()
+	}()
+	time.Sleep(50 * time.Millisecond) // a reader slower than the stop
+	got := 0
+	for got < messages {
+		var message []byte
+		err = s.Receive(&message)
+		if err != nil {
+			t.Errorf("message %d: %v", got, err)
+			break
+		}
+		got++
+	}
+	s.Cancel()
+	if diff := cmp.Diff(messages, got); diff != "" {
+		t.Errorf("messages received (-want +got):\n%s", diff)
+	}
+	err = <-served
+	if err != nil {
+		t.Error(err)
+	}
+}
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -33,6 +33,8 @@
 type Stream struct {
 	quic   *quic.Stream
 	reader *bufio.Reader
+	// watched is closed once the peer has ended its side; nil without Watch.
+	watched chan struct{}
 }
 
 // newStream wraps a QUIC stream.
@@ -82,8 +84,26 @@
 	s.quic.CancelWrite(codeCanceled)
 }
 
-// finish ends the stream after a handler: what was sent still arrives.
+// Watch calls gone once the peer has ended its side or the connection is lost.
+// The caller must not call Receive any more.
+func (s *Stream) Watch(gone func()) {
+	s.watched = make(chan struct{})
+	go func() {
+		_, _ = io.Copy(io.Discard, s.reader) // the end is all that counts
+		gone()
+		close(s.watched)
+	}()
+}
+
+// finish ends the stream after a handler. It returns once the peer has ended
+// its side, as it does when it has taken the last message.
 func (s *Stream) finish() {
-	s.quic.CancelRead(codeCanceled)
 	_ = s.quic.Close()
+	_ = s.quic.SetReadDeadline(time.Now().Add(finishTimeout))
+	if s.watched != nil {
+		<-s.watched
+	} else {
+		_, _ = io.Copy(io.Discard, s.reader)
+	}
+	s.quic.CancelRead(codeCanceled)
 }
