--- a/node/status.go
+++ b/node/status.go
@@ -10,17 +10,16 @@
 	"go.uber.org/zap"
 )
 
+// pathReady is the path that tells whether a process takes new work.
+const pathReady = "/readyz"
+
 // statusHandler serves /healthz, /readyz and /metrics.
-func statusHandler(ready func() bool) http.Handler {
+func (b *base) statusHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusOK)
 	})
-	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
+	mux.HandleFunc(pathReady, b.serveReady)
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		metrics.WritePrometheus(w, true)
@@ -37,11 +36,11 @@
 }
 
 // serveStatus serves the health checks and metrics until ctx ends.
-func (b *base) serveStatus(ctx context.Context, ready func() bool) {
+func (b *base) serveStatus(ctx context.Context) {
 	if b.status == nil {
 		return
 	}
-	err := serveHTTP(ctx, b.status, statusHandler(ready), b.grace())
+	err := serveHTTP(ctx, b.status, b.statusHandler(), b.grace(), nil)
 	if err != nil {
 		b.log.Warn("status listener failed", zap.Error(err))
 	}
--- a/scenario/caller_test.go
+++ b/scenario/caller_test.go
@@ -28,6 +28,7 @@
 type answer struct {
 	status  int
 	outcome string
+	retry   string
 	body    string
 	err     error
 }
@@ -141,6 +142,7 @@
 	return answer{
 		status:  response.StatusCode,
 		outcome: outcome,
+		retry:   response.Header.Get("Retry-After"),
 		body:    string(data),
 		err:     err,
 	}
@@ -168,6 +170,8 @@
 		ok = strconv.Itoa(s.last.status) == args[1]
 	case "outcome":
 		ok = s.last.outcome == args[1]
+	case "retry":
+		ok = (s.last.retry != "") == (args[1] == "yes")
 	case "body":
 		ok = strings.Contains(s.last.body, args[1])
 	}
@@ -177,11 +181,6 @@
 	return nil
 }
 
-// await waits until the engines have run a text a number of times.
-func (s *system) await(ts *testscript.TestScript, args []string) error {
-	return await(sendTimeout, func() bool { return s.expect(ts, args) == nil })
-}
-
 // executions counts the runs of a text over all engines that answer.
 func (s *system) executions(text string) (int, error) {
 	n := 0
