fleet: settle unanswered commits and close two gaps of the change log

Commit took a conflict as proof that an unanswered try had not taken effect. If that try landed behind the reads of the next one and the table then went down, the operator was told that nothing had changed.

Since returned no changes, not a gap, once the whole log had expired, so that a process that slept past the retention never caught up. It now compares with the head, and costs one read while nothing changes.

Load claimed the highest revision among the rows it read, though a change committed during the load may be missing from them and was then never applied.

References can be checked in the same transaction as the change.

--- a/fleet/errors.go
+++ b/fleet/errors.go
@@ -14,6 +14,10 @@
 	ErrUncertain = errors.New("unknown whether the change was accepted")
 	// ErrUnavailable means that the change was not accepted; it may be tried again.
 	ErrUnavailable = errors.New("configuration cannot be changed now")
+	// ErrReference means that a change would leave a reference to an absent resource.
+	ErrReference = errors.New("unresolved reference")
+	// ErrRepeated means that another request has used the idempotency key.
+	ErrRepeated = errors.New("idempotency key was used for another request")
 	// ErrGap means that the change log no longer reaches back far enough.
 	ErrGap = errors.New("change log does not reach back to the revision")
 )
--- a/fleet/poller.go
+++ b/fleet/poller.go
@@ -31,17 +31,18 @@
 
 // Poll applies what the table has and the replica lacks.
 func (p Poller) Poll(ctx context.Context) error {
-	if p.Replica.Snapshot().Revision == 0 {
+	revision := p.Replica.Snapshot().Revision
+	if revision == 0 {
 		return p.load(ctx)
 	}
-	changes, err := p.Store.Since(ctx, p.Replica.Snapshot().Revision)
+	changes, err := p.Store.Since(ctx, revision)
 	if errors.Is(err, ErrGap) {
 		return p.load(ctx)
 	}
 	if err != nil {
 		return err
 	}
-	return p.Replica.Apply(changes, 0)
+	return p.Replica.Apply(changes)
 }
 
 // load applies the whole configuration.
@@ -50,5 +51,5 @@
 	if err != nil {
 		return err
 	}
-	return p.Replica.Apply(changes, revision)
+	return p.Replica.Load(changes, revision)
 }
--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -1,7 +1,7 @@
 package fleet
 
 import (
-	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 
@@ -15,6 +15,7 @@
 
 	mu      sync.Mutex
 	changed chan struct{}
+	history history
 }
 
 // Snapshot returns the configuration in force; it is never nil.
@@ -36,32 +37,71 @@
 	return r.changed
 }
 
-// Apply brings changes into force, together, and raises the revision to at
-// least the given one. Changes older than what is in force have no effect. The
-// errors are those of resources that do not decode; the others are in force.
-func (r *Replica) Apply(changes []Change, atLeast foxtailstack.Revision) error {
+// Apply brings changes that follow each other in the log into force, together.
+// Changes older than what is in force have no effect. It returns ErrGap, and
+// changes nothing, if one is missing between what is in force and the first.
+// Other errors are those of resources that do not decode, which keep their
+// former state.
+func (r *Replica) Apply(changes []Change) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	snapshot := r.Snapshot()
-	before := snapshot.Revision
-	var errs []error
-	for _, change := range changes {
-		next, err := snapshot.apply(change)
-		if err != nil {
-			errs = append(errs, err)
-			continue
-		}
-		snapshot = next
+	changes = after(changes, snapshot.Revision)
+	if len(changes) == 0 {
+		return nil
 	}
-	if atLeast > snapshot.Revision {
-		raised := *snapshot
-		raised.Revision = atLeast
-		snapshot = &raised
+	if first := changes[0].Resource.Revision; first != snapshot.Revision+1 {
+		return fmt.Errorf("%w: next is %d, expected %d", ErrGap, first, snapshot.Revision+1)
 	}
+	b := newBuilder(snapshot)
+	err := b.apply(changes)
+	b.next.Revision = changes[len(changes)-1].Resource.Revision
+	r.history.add(changes)
+	r.publish(&b.next)
+	return err
+}
+
+// Load brings the whole configuration at a revision into force, unless a later
+// one is. Some changes may be newer than the revision. The errors are those of
+// resources that do not decode.
+func (r *Replica) Load(changes []Change, revision foxtailstack.Revision) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	snapshot := r.Snapshot()
+	if revision <= snapshot.Revision {
+		return nil
+	}
+	b := newBuilder(snapshot)
+	err := b.apply(changes)
+	b.next.Revision = revision
+	r.history = history{}
+	r.publish(&b.next)
+	return err
+}
+
+// Since returns the changes after a revision, or false if they are no longer
+// kept.
+func (r *Replica) Since(revision foxtailstack.Revision) ([]Change, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.history.since(revision, r.Snapshot().Revision)
+}
+
+// publish brings a snapshot into force. The caller holds r.mu.
+func (r *Replica) publish(snapshot *Snapshot) {
 	r.current.Store(snapshot)
-	if snapshot.Revision > before && r.changed != nil {
+	if r.changed != nil {
 		close(r.changed)
 		r.changed = nil
 	}
-	return errors.Join(errs...)
+}
+
+// after returns the changes of a log that come after a revision.
+func after(changes []Change, revision foxtailstack.Revision) []Change {
+	for i, change := range changes {
+		if change.Resource.Revision > revision {
+			return changes[i:]
+		}
+	}
+	return nil
 }
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -25,8 +25,6 @@
 	changeRetention = 24 * time.Hour
 	// pageSize is the number of rows read at once.
 	pageSize = 500
-	// commitTries bounds the repeats of a commit that races with others.
-	commitTries = 16
 )
 
 // headKey is the key of the row whose version is the revision.
@@ -41,8 +39,13 @@
 	Resource Resource              `cbor:"2,keyasint"`
 	// At is when the change was committed, by the clock of the committer.
 	At time.Time `cbor:"3,keyasint"`
+	// Digest is that of the proposal.
+	Digest Digest `cbor:"4,keyasint"`
 }
 
+// Digest tells the proposals apart that come under one ChangeID.
+type Digest uint64
+
 // Proposal is a change that an operator asks for.
 type Proposal struct {
 	// ChangeID makes a repeat of the same proposal one change.
@@ -52,6 +55,11 @@
 	Expect foxtailstack.Version
 	Delete bool
 	Spec   []byte
+	// Digest tells other proposals under the same ChangeID apart.
+	Digest Digest
+	// References refuses a change that would leave a reference to an absent
+	// resource.
+	References bool
 }
 
 // Store commits changes to the table and reads them back.
@@ -71,115 +79,6 @@
 	return foxtailstack.Revision(row.Version), nil
 }
 
-// Commit commits a proposal as one transaction and returns the change. It
-// returns ErrStale if the resource has another version, ErrUnavailable if
-// nothing was changed and ErrUncertain if that cannot be told.
-func (s Store) Commit(ctx context.Context, proposal Proposal) (Change, error) {
-	uncertain := false
-	for range commitTries {
-		change, err := s.try(ctx, proposal)
-		switch {
-		case err == nil:
-			return change, nil
-		case errors.Is(err, foxtailstack.ErrUncertain):
-			uncertain = true
-		case errors.Is(err, foxtailstack.ErrConflict):
-			// Another change came first, or this one had taken effect. Versions
-			// only rise, so no earlier try can still take effect.
-			uncertain = false
-		case uncertain:
-			return Change{}, fmt.Errorf("%w: %w", ErrUncertain, err)
-		case errors.Is(err, ErrStale):
-			return Change{}, err
-		default:
-			return Change{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
-		}
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	if uncertain {
-		return Change{}, ErrUncertain
-	}
-	return Change{}, ErrUnavailable
-}
-
-// try makes one transaction of a proposal.
-func (s Store) try(ctx context.Context, proposal Proposal) (Change, error) {
-	changeKey := foxtailstack.Key{
-		Partition: partitionChange,
-		Sort:      proposal.ChangeID.String(),
-	}
-	row, err := s.Table.Get(ctx, changeKey)
-	if err == nil {
-		return decodeChange(row)
-	}
-	if !errors.Is(err, foxtailstack.ErrNotFound) {
-		return Change{}, err
-	}
-	head, err := s.Head(ctx)
-	if err != nil {
-		return Change{}, err
-	}
-	current, err := s.Get(ctx, proposal.ID)
-	if err != nil && !errors.Is(err, ErrNotFound) {
-		return Change{}, err
-	}
-	if visible(current) != proposal.Expect {
-		return Change{}, fmt.Errorf("%w: %s has version %d, expected %d", ErrStale, proposal.ID, visible(current), proposal.Expect)
-	}
-	return s.write(ctx, proposal, changeKey, head, current.Version)
-}
-
-// write commits the rows of a change on condition that nothing has moved.
-func (s Store) write(
-	ctx context.Context,
-	proposal Proposal,
-	changeKey foxtailstack.Key,
-	head foxtailstack.Revision,
-	version foxtailstack.Version,
-) (Change, error) {
-	now := time.Now()
-	change := Change{
-		ChangeID: proposal.ChangeID,
-		Resource: Resource{
-			ID:       proposal.ID,
-			Version:  version + 1,
-			Revision: head + 1,
-			Deleted:  proposal.Delete,
-			Spec:     proposal.Spec,
-		},
-		At: now,
-	}
-	value, err := wire.Marshal(change)
-	if err != nil {
-		return Change{}, err
-	}
-	err = s.Table.Commit(
-		ctx,
-		foxtailstack.Write{
-			Key:    headKey,
-			Expect: foxtailstack.Version(head),
-		},
-		foxtailstack.Write{
-			Key:    resourceKey(proposal.ID),
-			Expect: version,
-			Value:  value,
-		},
-		foxtailstack.Write{
-			Key:     logKey(head + 1),
-			Value:   value,
-			Expires: now.Add(logRetention),
-		},
-		foxtailstack.Write{
-			Key:     changeKey,
-			Value:   value,
-			Expires: now.Add(changeRetention),
-		},
-	)
-	return change, err
-}
-
 // Get returns a resource, or ErrNotFound. For a deleted resource it returns its
 // remains together with ErrNotFound.
 func (s Store) Get(ctx context.Context, id ID) (Resource, error) {
@@ -188,7 +87,7 @@
 		return Resource{}, ErrNotFound
 	}
 	if err != nil {
-		return Resource{}, err
+		return Resource{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	change, err := decodeChange(row)
 	if err != nil {
@@ -200,28 +99,49 @@
 	return change.Resource, nil
 }
 
-// Since returns the changes after a revision, at most a page of them. It
-// returns ErrGap if the log no longer holds the next one.
+// Since returns the changes after a revision, up to the highest that is
+// committed. It returns ErrGap if the log no longer holds all of them.
 func (s Store) Since(ctx context.Context, revision foxtailstack.Revision) ([]Change, error) {
-	rows, err := s.Table.Range(ctx, partitionLog, logKey(revision).Sort, pageSize)
+	head, err := s.Head(ctx)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return nil, err
 	}
-	changes := make([]Change, 0, len(rows))
-	for _, row := range rows {
-		change, err := decodeChange(row)
+	var changes []Change
+	for revision < head {
+		rows, err := s.Table.Range(ctx, partitionLog, logKey(revision).Sort, pageSize)
 		if err != nil {
-			return nil, err
+			return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 		}
-		revision++
-		if change.Resource.Revision != revision {
-			return nil, fmt.Errorf("%w: next is %d, expected %d", ErrGap, change.Resource.Revision, revision)
+		if len(rows) == 0 {
+			return nil, fmt.Errorf("%w: none after %d, expected up to %d", ErrGap, revision, head)
+		}
+		for _, row := range rows {
+			change, err := decodeChange(row)
+			if err != nil {
+				return nil, err
+			}
+			revision++
+			if change.Resource.Revision != revision {
+				return nil, fmt.Errorf("%w: next is %d, expected %d", ErrGap, change.Resource.Revision, revision)
+			}
+			changes = append(changes, change)
 		}
-		changes = append(changes, change)
 	}
 	return changes, nil
 }
 
+// Find returns the change under a ChangeID, or ErrNotFound.
+func (s Store) Find(ctx context.Context, id foxtailstack.ChangeID) (Change, error) {
+	row, err := s.Table.Get(ctx, changeKey(id))
+	if errors.Is(err, foxtailstack.ErrNotFound) {
+		return Change{}, ErrNotFound
+	}
+	if err != nil {
+		return Change{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return decodeChange(row)
+}
+
 // Load returns all resources, the remains of deleted ones included, and a
 // revision that they are at least as new as.
 func (s Store) Load(ctx context.Context) ([]Change, foxtailstack.Revision, error) {
@@ -266,6 +186,14 @@
 	}
 }
 
+// changeKey returns the key of the row that makes a repeated change one.
+func changeKey(id foxtailstack.ChangeID) foxtailstack.Key {
+	return foxtailstack.Key{
+		Partition: partitionChange,
+		Sort:      id.String(),
+	}
+}
+
 // logKey returns the key of a revision's row in the change log.
 func logKey(revision foxtailstack.Revision) foxtailstack.Key {
 	return foxtailstack.Key{
