Admit calls by weighted fair queueing at the gate

The gate counted slots and refused as soon as all were taken, so that a burst of a few milliseconds cost callers an attempt and a large team could hold all slots. Calls now wait in order of start-time fair queueing by team weight, and by priority within a team.

The queue is bounded by time and not by length: a call that cannot start with two mean service times left before its deadline is refused at once, with a time to come back that is drawn over the time in which the queue empties. The mean comes from slot time used per call ended (Little's law), which needs no identity of the call that leaves.

Ruled out: a fixed queue length, which is too long for calls with short deadlines and too short for others.

A slot granted while its call gives up is passed on; without that TestGateGrantMeetsCancel ends in a deadlock.

--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -41,6 +41,9 @@
 		Recorder:    booking.Recorder{Table: s.table},
 		Ring:        s.ring,
 	}
+	s.gate.SetWeight(func(name foxtailstack.TeamName) float64 {
+		return s.replica.Snapshot().Teams[name].Weight
+	})
 	s.mux.Handle(upstream.StreamAttempt, server.ServeAttempt)
 	responder := booking.Responder{
 		Incarnation: server.Incarnation,
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -11,18 +12,51 @@
 
 // Errors of the Gate. Test for them with errors.Is.
 var (
-	// ErrFull means that all slots are taken.
-	ErrFull = errors.New("all slots are taken")
+	// ErrFull means that the call could not start early enough.
+	ErrFull = errors.New("queue is full")
 	// ErrDraining means that the upstream is leaving.
 	ErrDraining = errors.New("upstream is draining")
+	// ErrExpired means that the call left or its deadline passed in the queue.
+	ErrExpired = errors.New("deadline passed before the call started")
 )
 
+// GateError is a call that the Gate did not let in. The engine has not seen it.
+type GateError struct {
+	// Err is ErrFull, ErrDraining or ErrExpired.
+	Err error
+	// Retry is when the call may come back; zero if it should go elsewhere.
+	Retry time.Duration
+}
+
+// Error returns the text of the error.
+func (e *GateError) Error() string {
+	if e.Retry == 0 {
+		return e.Err.Error()
+	}
+	return fmt.Sprintf("%v, retry after %v", e.Err, e.Retry)
+}
+
+// Unwrap returns the cause of the error.
+func (e *GateError) Unwrap() error {
+	return e.Err
+}
+
 // Ticket is a call that asks for a slot.
 type Ticket struct {
 	Team     foxtailstack.TeamName
 	Priority foxtailstack.Priority
 	// Left is the time left until the call's deadline.
 	Left time.Duration
+	// Work is the size of the call against a mean one; zero means 1.
+	Work float64
+}
+
+// work returns the size of the call against a mean one.
+func (t Ticket) work() float64 {
+	if t.Work > 0 {
+		return t.Work
+	}
+	return 1
 }
 
 // Load is what the gate knows of its queue.
@@ -32,14 +66,17 @@
 	Slots   int `cbor:"3,keyasint"`
 	// Wait is the expected wait of a call that comes now.
 	Wait time.Duration `cbor:"4,keyasint"`
+	// Service is the smoothed time that a call holds a slot; zero if unknown.
+	Service time.Duration `cbor:"5,keyasint,omitempty"`
+	// Draining is set once the upstream takes no more calls.
+	Draining bool `cbor:"6,keyasint,omitempty"`
 }
 
-// Gate counts the calls that run on the engine and refuses those beyond its
-// slots.
+// Gate admits calls to the engine as its Queue decides. It is safe for
+// concurrent use.
 type Gate struct {
 	mu       sync.Mutex
-	slots    int
-	running  int
+	queue    Queue
 	draining bool
 	idle     chan struct{}
 }
@@ -47,52 +84,96 @@
 // NewGate returns a gate with a number of slots.
 func NewGate(slots int) *Gate {
 	return &Gate{
-		slots: slots,
+		queue: Queue{slots: slots},
 		idle:  make(chan struct{}),
 	}
 }
 
-// Resize changes the number of slots. Calls that run are not affected.
+// SetWeight sets the function that returns the share of a team. The gate calls
+// it while it is locked.
+func (g *Gate) SetWeight(weight func(foxtailstack.TeamName) float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.Weight = weight
+}
+
+// Resize changes the number of slots. Calls that run are not affected; calls
+// that wait start in new slots.
 func (g *Gate) Resize(slots int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.slots = slots
+	g.queue.Resize(time.Now(), slots)
+}
+
+// Enter waits for a slot and takes it. Otherwise its error is a *GateError and
+// no slot is taken; it is ErrExpired if ctx ends first.
+func (g *Gate) Enter(ctx context.Context, t Ticket) error {
+	ctx, cancel := context.WithTimeout(ctx, t.Left)
+	defer cancel()
+	decided := make(chan error, 1)
+	w := &Waiter{Decided: func(err error) { decided <- err }}
+	err := g.add(t, w)
+	if err != nil {
+		return err
+	}
+	select {
+	case err = <-decided:
+		return err
+	case <-ctx.Done():
+	}
+	g.abandon(w, decided)
+	return &GateError{Err: fmt.Errorf("%w: %w", ErrExpired, context.Cause(ctx))}
 }
 
-// Enter takes a slot. It returns ErrFull or ErrDraining if it takes none.
-func (g *Gate) Enter(_ context.Context, _ Ticket) error {
+// add puts a call into the queue.
+func (g *Gate) add(t Ticket, w *Waiter) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.draining {
-		return ErrDraining
-	}
-	if g.running >= g.slots {
-		return ErrFull
+		return &GateError{Err: ErrDraining}
 	}
-	g.running++
+	g.queue.Add(time.Now(), t, w)
 	return nil
 }
 
+// abandon takes a call out of the queue, or gives back the slot that it got
+// in the meantime.
+func (g *Gate) abandon(w *Waiter, decided <-chan error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.queue.Remove(w) {
+		return
+	}
+	if <-decided == nil {
+		g.queue.Release(time.Now())
+		g.settle()
+	}
+}
+
 // Leave gives a slot back.
 func (g *Gate) Leave() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.running--
-	if g.draining && g.running == 0 {
+	g.queue.Finish(time.Now())
+	g.settle()
+}
+
+// settle tells a Drain that no call runs any more. The caller holds g.mu.
+func (g *Gate) settle() {
+	if g.draining && g.queue.running == 0 {
 		close(g.idle)
 	}
 }
 
-// Drain refuses new calls from now on and returns a channel that is closed
-// once none runs.
+// Drain refuses new calls and those that wait from now on. It returns a channel
+// that is closed once none runs.
 func (g *Gate) Drain() <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.draining {
 		g.draining = true
-		if g.running == 0 {
-			close(g.idle)
-		}
+		g.queue.Refuse(ErrDraining)
+		g.settle()
 	}
 	return g.idle
 }
@@ -101,8 +182,23 @@
 func (g *Gate) Load() Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Load{
-		Running: g.running,
-		Slots:   g.slots,
+	load := g.queue.Load()
+	load.Draining = g.draining
+	return load
+}
+
+// gateRefusal returns the refusal that stands for an error of the gate.
+func gateRefusal(err error) Refusal {
+	refusal := Refusal{Reason: ReasonFull}
+	switch {
+	case errors.Is(err, ErrDraining):
+		refusal.Reason = ReasonDraining
+	case errors.Is(err, ErrExpired):
+		refusal.Reason = ReasonExpired
+	}
+	var refused *GateError
+	if errors.As(err, &refused) {
+		refusal.Retry = refused.Retry
 	}
+	return refusal
 }
--- /dev/null
+++ b/upstream/gate_test.go
@@ -0,0 +1,185 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+)
+
+// enter lets a call enter in the background and returns its result.
+func enter(ctx context.Context, g *Gate, t Ticket) <-chan error {
+	result := make(chan error, 1)
+	go func() { result <- g.Enter(ctx, t) }()
+	synctest.Wait()
+	return result
+}
+
+// warm teaches the gate a service time.
+func warm(t *testing.T, g *Gate, service time.Duration) {
+	t.Helper()
+	if err := g.Enter(t.Context(), Ticket{Left: time.Hour}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(service)
+	g.Leave()
+}
+
+func TestGateRefusals(t *testing.T) {
+	tests := []struct {
+		name string
+		left time.Duration
+		do   func(g *Gate, cancel context.CancelFunc)
+		want error
+		// after is when the call learns of it.
+		after time.Duration
+	}{
+		{"no time left", 0, nil, ErrExpired, 0},
+		{"cannot start in time", time.Second, nil, ErrFull, 0},
+		{"draining", time.Minute, func(g *Gate, _ context.CancelFunc) { g.Drain() }, ErrDraining, 0},
+		{"canceled", time.Minute, func(_ *Gate, cancel context.CancelFunc) { cancel() }, context.Canceled, 0},
+		{"expired while waiting", 4 * time.Second, nil, ErrExpired, 4 * time.Second},
+		{"resized", time.Minute, func(g *Gate, _ context.CancelFunc) { g.Resize(2) }, nil, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewGate(1)
+				warm(t, g, time.Second)
+				if err := g.Enter(t.Context(), Ticket{Left: time.Hour}); err != nil {
+					t.Fatal(err)
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				began := time.Now()
+				result := enter(ctx, g, Ticket{Left: test.left})
+				if test.do != nil {
+					test.do(g, cancel)
+				}
+				got := <-result
+				if diff := cmp.Diff(test.want, got, cmpopts.EquateErrors()); diff != "" {
+					t.Error(diff)
+				}
+				if diff := cmp.Diff(test.after, time.Since(began)); diff != "" {
+					t.Error(diff)
+				}
+				var refused *GateError
+				if errors.Is(got, ErrFull) && (!errors.As(got, &refused) || refused.Retry < minRetry/2) {
+					t.Errorf("refusal without a time to come back: %v", got)
+				}
+			})
+		})
+	}
+}
+
+// A slot that is granted while its call gives up must go to the next one.
+func TestGateGrantMeetsCancel(t *testing.T) {
+	for range 200 {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewGate(1)
+			if err := g.Enter(t.Context(), Ticket{Left: time.Hour}); err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			result := enter(ctx, g, Ticket{Left: time.Minute})
+			go cancel()
+			go g.Leave()
+			if err := <-result; err == nil {
+				g.Leave()
+			}
+			synctest.Wait()
+			want := Load{Slots: 1}
+			if diff := cmp.Diff(want, g.Load(), cmpopts.IgnoreFields(Load{}, "Service")); diff != "" {
+				t.Error(diff)
+			}
+			<-g.Drain()
+		})
+	}
+}
+
+// Whatever the weights and the order of arrival, teams that always wait get
+// slots in proportion to their weights.
+func TestQueueSharesByWeight(t *testing.T) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		weights := map[foxtailstack.TeamName]float64{
+			"a": float64(rapid.IntRange(1, 9).Draw(t, "a")),
+			"b": float64(rapid.IntRange(1, 9).Draw(t, "b")),
+			"c": float64(rapid.IntRange(1, 9).Draw(t, "c")),
+		}
+		teams := rapid.SliceOfN(rapid.SampledFrom([]foxtailstack.TeamName{"a", "b", "c"}), 0, 20).Draw(t, "teams")
+		teams = append(teams, "a", "b", "c", "a", "b", "c")
+		now := time.Unix(0, 0)
+		q := Queue{Weight: func(team foxtailstack.TeamName) float64 { return weights[team] }}
+		started := map[foxtailstack.TeamName]float64{}
+		add := func(team foxtailstack.TeamName) {
+			q.Add(now, Ticket{
+				Team: team,
+				Left: time.Hour,
+			}, &Waiter{Decided: func(err error) {
+				if err == nil {
+					started[team]++
+				}
+			}})
+		}
+		q.Resize(now, 0)
+		q.Unbounded = true
+		for _, team := range teams {
+			add(team)
+		}
+		q.Resize(now, 1)
+		for range 400 {
+			before := started["a"] + started["b"] + started["c"]
+			for team := range weights {
+				for len(q.account(team).waiting) < 2 {
+					add(team)
+				}
+			}
+			now = now.Add(time.Second)
+			q.Finish(now)
+			if started["a"]+started["b"]+started["c"] != before+1 {
+				t.Fatal("a free slot was not used")
+			}
+		}
+		for team, weight := range weights {
+			share := started[team] / weight
+			reference := started["a"] / weights["a"]
+			if math.Abs(share-reference) > 1/weight+1/weights["a"]+1e-9 {
+				t.Fatalf("started %v under weights %v", started, weights)
+			}
+		}
+	})
+}
+
+func TestQueuePriorityWithinTeam(t *testing.T) {
+	now := time.Unix(0, 0)
+	q := Queue{Unbounded: true}
+	var order []string
+	for _, call := range []struct {
+		name     string
+		team     foxtailstack.TeamName
+		priority foxtailstack.Priority
+	}{{"a-low", "a", 0}, {"a-high", "a", 5}, {"b-low", "b", -3}, {"a-late", "a", 0}} {
+		q.Add(now, Ticket{
+			Team:     call.team,
+			Priority: call.priority,
+			Left:     time.Hour,
+		}, &Waiter{Decided: func(error) { order = append(order, call.name) }})
+	}
+	q.Resize(now, 4)
+	// A team's priority does not put it before another team.
+	want := []string{"a-high", "b-low", "a-low", "a-late"}
+	if diff := cmp.Diff(want, order); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/upstream/server.go
+++ b/upstream/server.go
@@ -86,7 +86,7 @@
 		Left:     a.open.Left,
 	})
 	if err != nil {
-		a.refuse(gateReason(err))
+		a.refuseWith(gateRefusal(err))
 		return
 	}
 	defer a.server.Gate.Leave()
@@ -197,8 +197,13 @@
 
 // refuse ends an attempt that the engine has not seen.
 func (a *attempt) refuse(reason Reason) {
-	a.record(EventRefuse, string(reason))
-	_ = a.send(Frame{Refusal: &Refusal{Reason: reason}})
+	a.refuseWith(Refusal{Reason: reason})
+}
+
+// refuseWith ends an attempt that the engine has not seen.
+func (a *attempt) refuseWith(refusal Refusal) {
+	a.record(EventRefuse, string(refusal.Reason))
+	_ = a.send(Frame{Refusal: &refusal})
 }
 
 // fail ends an attempt that the engine may have run.
@@ -216,11 +221,3 @@
 		Text:     text,
 	})
 }
-
-// gateReason returns the reason that stands for an error of the gate.
-func gateReason(err error) Reason {
-	if errors.Is(err, ErrDraining) {
-		return ReasonDraining
-	}
-	return ReasonFull
-}
