Choose upstreams by probes, prefix affinity and health

The entry picked an upstream at random. A Directory now proposes two homes of the prompt's prefix by rendezvous hashing in the entry's own data centre, two random upstreams beside them and one elsewhere, and picks the one with the least expected wait, prefix miss and way. The loads come from probes to the sidecars' gates, which are pooled for 300 ms, corrected by the calls in flight from this entry, and held to 24 a second for each entry; a request waits for one only while fewer than two candidates are fresh, and for 20 ms at most.

Upstreams are ejected by three failures in a row or a latency above three times the median of the service, never more than 30 in 100 of a service, and come back after three calls on trial, one a second. Refusals by a sidecar and callers that go away count as no failure. Draining and leaving upstreams get nothing.

Ruled out: broadcast of loads (300 KB a second at each entry at target size).

--- a/balance/chooser.go
+++ b/balance/chooser.go
@@ -2,38 +2,220 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
+	"maps"
+	"sync"
+	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/entry"
 	"github.com/foxtailstack/foxtailstack/fleet"
+	"github.com/foxtailstack/foxtailstack/upstream"
 )
 
-// Chooser picks an upstream of a service at random. It is an entry.Chooser.
+const (
+	// tickInterval is the time between two looks at the health of upstreams.
+	tickInterval = time.Second
+	// listInterval is the time between two reads of the list of instances.
+	listInterval = 2 * time.Second
+	// maxSuspects is the number of upstreams without work that are probed at
+	// each look.
+	maxSuspects = 4
+	// backlog is the number of messages to the owner that may wait.
+	backlog = 1024
+)
+
+var dropped = metrics.NewCounter("foxtailstack_balance_dropped_total")
+
+// Chooser picks upstreams by the load that probes see, cache affinity and
+// distance. It is an entry.Chooser. Without Run it probes and ejects nothing.
 type Chooser struct {
+	// Replica holds the configuration.
 	Replica *fleet.Replica
+	// Client carries the probes; nil sends none.
+	Client Caller
+	// Centre is the data centre of the entry.
+	Centre foxtailstack.DataCentre
+	// Instances is the platform's list; nil means that no instance leaves.
+	Instances foxtailstack.InstanceList
+
+	once      sync.Once
+	directory Directory
+	mu        sync.Mutex
+	// owned is set while Run owns the directory; otherwise mu guards it.
+	owned bool
+	// work holds what the owner of the directory is to do.
+	work   chan func(now time.Time)
+	prober prober
+}
+
+// start makes the parts that the zero value lacks.
+func (c *Chooser) start() {
+	c.once.Do(func() {
+		c.work = make(chan func(time.Time), backlog)
+		c.directory.Centre = c.Centre
+	})
 }
 
-// Choose returns an upstream that takes new work, preferably an untried one.
-func (c *Chooser) Choose(_ context.Context, q entry.Query) (fleet.Member, bool) {
-	var fresh, tried []fleet.Member
-	for _, member := range c.Replica.Snapshot().Upstreams[q.Service] {
-		switch {
-		case member.Drain:
-		case slices.Contains(q.Tried, member.ID.Upstream):
-			tried = append(tried, member)
-		default:
-			fresh = append(fresh, member)
+// Run owns the directory until ctx ends.
+func (c *Chooser) Run(ctx context.Context) {
+	c.start()
+	c.prober.enable(ctx, c.Client)
+	c.own(true)
+	defer c.own(false)
+	go c.list(ctx)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	var leaving map[foxtailstack.Address]bool
+	for {
+		changed := c.Replica.Changed()
+		c.directory.Update(c.Replica.Snapshot(), leaving)
+		if !c.serve(ctx, ticker, changed, &leaving) {
+			return
 		}
 	}
-	if len(fresh) == 0 {
-		fresh = tried
+}
+
+// own notes whether Run owns the directory.
+func (c *Chooser) own(owned bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.owned = owned
+}
+
+// serve does the owner's work until the configuration or the list changes. It
+// returns false once ctx ends.
+func (c *Chooser) serve(
+	ctx context.Context,
+	ticker *time.Ticker,
+	changed <-chan struct{},
+	leaving *map[foxtailstack.Address]bool,
+) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+			return true
+		case *leaving = <-c.prober.leaving:
+			return true
+		case <-ticker.C:
+			c.directory.Tick(time.Now())
+			c.probe(c.directory.Suspects(maxSuspects))
+		case do := <-c.work:
+			do(time.Now())
+		}
 	}
-	if len(fresh) == 0 {
-		return fleet.Member{}, false
+}
+
+// tell gives the owner work. It drops the work if the owner lags far behind.
+func (c *Chooser) tell(do func(now time.Time)) {
+	select {
+	case c.work <- do:
+	default:
+		dropped.Inc()
+	}
+}
+
+// list reads the list of instances until ctx ends.
+func (c *Chooser) list(ctx context.Context) {
+	if c.Instances == nil {
+		return
+	}
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	var known map[foxtailstack.Address]bool
+	for {
+		instances, err := c.Instances.Instances(ctx)
+		if leaving := leavingOf(instances); err == nil && !maps.Equal(known, leaving) {
+			c.prober.tellLeaving(ctx, leaving)
+			known = leaving
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Choose returns an upstream that takes new work, preferably an untried one. It
+// waits for probes only if too few candidates have been seen lately.
+func (c *Chooser) Choose(ctx context.Context, q entry.Query) (fleet.Member, bool) {
+	c.start()
+	c.refresh(ctx)
+	proposal := c.directory.Propose(time.Now(), q)
+	stale := proposal.Stale(time.Now(), maxAge)
+	if len(stale) > 0 {
+		settled, asked := c.probe(stale)
+		fresh := proposal.Len() - len(stale)
+		await(ctx, settled, min(enough, proposal.Len())-fresh, asked)
+	}
+	return proposal.Pick(time.Now())
+}
+
+// refresh brings the directory up to the configuration in force.
+func (c *Chooser) refresh(ctx context.Context) {
+	snapshot := c.Replica.Snapshot()
+	if c.directory.Revision() >= snapshot.Revision {
+		return
+	}
+	for c.directory.Revision() < snapshot.Revision && ctx.Err() == nil {
+		c.mu.Lock()
+		if !c.owned {
+			c.directory.Update(snapshot, nil)
+		}
+		c.mu.Unlock()
+		done := make(chan struct{})
+		c.tell(func(time.Time) { close(done) })
+		select {
+		case <-done:
+		case <-time.After(maxAwait):
+		}
 	}
-	return fresh[rand.IntN(len(fresh))], true
 }
 
 // Report tells how the attempt on a chosen upstream went.
-func (c *Chooser) Report(fleet.Member, entry.Result) {}
+func (c *Chooser) Report(member fleet.Member, result entry.Result) {
+	c.start()
+	c.directory.Done(time.Now(), member, result)
+	c.tell(func(now time.Time) { c.directory.Judge(now, member, result) })
+}
+
+// probe asks upstreams for their loads. It returns the number asked and a
+// channel that receives one value for each that has been settled.
+func (c *Chooser) probe(targets []Target) (<-chan struct{}, int) {
+	settled := make(chan struct{}, len(targets))
+	asked := 0
+	for _, target := range targets {
+		sent := c.prober.ask(target, func(seen upstream.Sighting, way time.Duration, err error) {
+			c.tell(func(now time.Time) {
+				if err != nil || seen.Wrong {
+					c.directory.Silent(target)
+				} else {
+					c.directory.Saw(now, target, seen.Load, way)
+				}
+				settled <- struct{}{}
+			})
+		})
+		if sent {
+			asked++
+		}
+	}
+	return settled, asked
+}
+
+// await waits until n of the probes asked are settled, for a short time.
+func await(ctx context.Context, settled <-chan struct{}, n, asked int) {
+	timer := time.NewTimer(maxAwait)
+	defer timer.Stop()
+	for range min(n, asked) {
+		select {
+		case <-settled:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/balance/chooser_test.go
@@ -0,0 +1,150 @@
+package balance
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/entry"
+	"github.com/foxtailstack/foxtailstack/fleet"
+	"github.com/foxtailstack/foxtailstack/upstream"
+	"github.com/foxtailstack/foxtailstack/wire"
+	"github.com/google/go-cmp/cmp"
+)
+
+// sidecars answers probes after a time.
+type sidecars struct {
+	way   time.Duration
+	calls atomic.Int64
+}
+
+func (s *sidecars) Call(ctx context.Context, _ foxtailstack.Address, _ wire.Kind, _, response any) error {
+	s.calls.Add(1)
+	select {
+	case <-time.After(s.way):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	*response.(*upstream.Sighting) = upstream.Sighting{Load: upstream.Load{Slots: 4}}
+	return nil
+}
+
+// list is a list of instances.
+type list []foxtailstack.Instance
+
+func (l list) Instances(context.Context) ([]foxtailstack.Instance, error) {
+	return l, nil
+}
+
+// replicaOf returns a replica with two drafting upstreams.
+func replicaOf(t *testing.T) *fleet.Replica {
+	t.Helper()
+	replica := &fleet.Replica{}
+	for i, name := range []string{"w1", "w2"} {
+		err := replica.Apply([]fleet.Change{{Resource: fleet.Resource{
+			ID: fleet.ID{
+				Kind: fleet.KindUpstream,
+				Name: service.String() + "/" + name,
+			},
+			Version:  1,
+			Revision: foxtailstack.Revision(i + 1),
+			Spec:     []byte(`{"address":"127.0.0.1:` + name[1:] + `","centre":"a","slots":4}`),
+		}}}, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return replica
+}
+
+// A request waits for probes only if no fresh ones are pooled, and never long.
+func TestChooserWaitsForProbes(t *testing.T) {
+	tests := []struct {
+		name string
+		way  time.Duration
+		// want are the waits of requests at once, a little later and much later.
+		want []time.Duration
+	}{
+		{"answered", 2 * time.Millisecond, []time.Duration{2 * time.Millisecond, 0, 2 * time.Millisecond}},
+		{"silent", time.Hour, []time.Duration{maxAwait, maxAwait, maxAwait}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := Chooser{
+					Replica: replicaOf(t),
+					Client:  &sidecars{way: test.way},
+					Centre:  "a",
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go c.Run(ctx)
+				synctest.Wait()
+				var got []time.Duration
+				for _, pause := range []time.Duration{0, maxAge / 2, 2 * maxAge} {
+					time.Sleep(pause)
+					began := time.Now()
+					m, ok := c.Choose(ctx, entry.Query{Service: service})
+					if !ok {
+						t.Fatal("no upstream")
+					}
+					got = append(got, time.Since(began))
+					c.Report(m, entry.Result{Outcome: foxtailstack.Ran})
+				}
+				if diff := cmp.Diff(test.want, got); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
+
+// However many requests come, the probes stay within their budget.
+func TestChooserProbeBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peers := &sidecars{way: time.Millisecond}
+		c := Chooser{
+			Replica: replicaOf(t),
+			Client:  peers,
+			Centre:  "a",
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go c.Run(ctx)
+		synctest.Wait()
+		const seconds = 20
+		for range seconds * 1000 {
+			c.probe([]Target{member(1, "a"), member(2, "a"), member(3, "a")})
+			time.Sleep(time.Millisecond)
+		}
+		if got, limit := peers.calls.Load(), int64(probeBurst+seconds*probeRate+1); got > limit {
+			t.Errorf("%d probes in %d s, expected at most %d", got, seconds, limit)
+		}
+	})
+}
+
+func TestChooserAvoidsLeavingInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := Chooser{
+			Replica: replicaOf(t),
+			Client:  &sidecars{},
+			Instances: list{{
+				Address: "127.0.0.1:1",
+				Leaving: true,
+			}},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go c.Run(ctx)
+		synctest.Wait()
+		for range 20 {
+			m, _ := c.Choose(ctx, entry.Query{Service: service})
+			if diff := cmp.Diff(foxtailstack.UpstreamName("w2"), m.ID.Upstream); diff != "" {
+				t.Fatal(diff)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/balance/directory_test.go
@@ -0,0 +1,227 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/entry"
+	"github.com/foxtailstack/foxtailstack/fleet"
+	"github.com/foxtailstack/foxtailstack/upstream"
+	"github.com/google/go-cmp/cmp"
+)
+
+var service = fleet.ServiceID{
+	Fleet:   "formula",
+	Service: "drafting",
+}
+
+// member returns upstream n of the service.
+func member(n int, centre foxtailstack.DataCentre) fleet.Member {
+	return fleet.Member{
+		ID: fleet.UpstreamID{
+			ServiceID: service,
+			Upstream:  foxtailstack.UpstreamName(fmt.Sprintf("w%d", n)),
+		},
+		Upstream: fleet.Upstream{
+			Address: foxtailstack.Address(fmt.Sprintf("10.0.0.%d:1", n)),
+			Centre:  centre,
+			Slots:   4,
+		},
+	}
+}
+
+// snapshotOf returns a configuration with the given upstreams.
+func snapshotOf(members ...fleet.Member) *fleet.Snapshot {
+	all := map[foxtailstack.UpstreamName]fleet.Member{}
+	for _, m := range members {
+		all[m.ID.Upstream] = m
+	}
+	return &fleet.Snapshot{
+		Revision:  1,
+		Upstreams: map[fleet.ServiceID]map[foxtailstack.UpstreamName]fleet.Member{service: all},
+	}
+}
+
+// picks returns which upstreams a number of prompts go to.
+func picks(d *Directory, now time.Time, n int) map[foxtailstack.UpstreamName]int {
+	counts := map[foxtailstack.UpstreamName]int{}
+	for i := range n {
+		m, ok := d.Propose(now, entry.Query{
+			Service: service,
+			Prompt:  fmt.Append(nil, "prompt ", i),
+		}).Pick(now)
+		if ok {
+			counts[m.ID.Upstream]++
+			d.Done(now, m, entry.Result{Outcome: foxtailstack.Ran})
+		}
+	}
+	return counts
+}
+
+func TestDirectoryHealth(t *testing.T) {
+	failed := entry.Result{Outcome: foxtailstack.Unknown}
+	ran := entry.Result{
+		Outcome: foxtailstack.Ran,
+		Latency: 100 * time.Millisecond,
+	}
+	slow := entry.Result{
+		Outcome: foxtailstack.Ran,
+		Latency: time.Second,
+	}
+	unreachable := entry.Result{
+		Outcome:     foxtailstack.NotRun,
+		Unreachable: true,
+	}
+	canceled := entry.Result{
+		Outcome:  foxtailstack.Unknown,
+		Canceled: true,
+	}
+	refused := entry.Result{
+		Outcome: foxtailstack.NotRun,
+		Refused: true,
+	}
+	type step struct {
+		after  time.Duration
+		result entry.Result
+		times  int
+	}
+	tests := []struct {
+		name  string
+		steps []step
+		want  State
+	}{
+		{"failures in a row", []step{{0, failed, 3}}, Ejected},
+		{"unreachable", []step{{0, unreachable, 3}}, Ejected},
+		{"failures broken by an answer", []step{{0, failed, 2}, {0, ran, 1}, {0, failed, 2}}, Healthy},
+		{"refusals", []step{{0, refused, 50}}, Healthy},
+		{"callers that go away", []step{{0, canceled, 50}}, Healthy},
+		{"slow against the others", []step{{0, slow, 20}, {time.Second, slow, 0}}, Ejected},
+		{"on trial after a time", []step{{0, failed, 3}, {minCooling, failed, 0}}, Probing},
+		{"fails on trial", []step{{0, failed, 3}, {minCooling, failed, 1}}, Ejected},
+		{"slow on trial", []step{{0, failed, 3}, {minCooling, slow, 1}}, Ejected},
+		{"passes its trial", []step{{0, failed, 3}, {minCooling, ran, 3}}, Healthy},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			d := Directory{}
+			d.Update(snapshotOf(member(1, "a"), member(2, "a"), member(3, "a"), member(4, "a")), nil)
+			for i := 2; i <= 4; i++ {
+				for range minSamples {
+					d.Judge(now, member(i, "a"), ran)
+				}
+			}
+			for _, s := range test.steps {
+				now = now.Add(s.after)
+				d.Tick(now)
+				for range s.times {
+					d.Judge(now, member(1, "a"), s.result)
+				}
+			}
+			if diff := cmp.Diff(test.want, d.StateOf(member(1, "a"))); diff != "" {
+				t.Error(diff)
+			}
+			wantPicks := 0
+			switch test.want {
+			case Probing:
+				wantPicks = 1 // one call on trial a second
+			case Healthy:
+				wantPicks = -1
+			}
+			if got := picks(&d, now, 200)["w1"]; got != wantPicks && (wantPicks >= 0 || got == 0) {
+				t.Errorf("%d picks, expected %d", got, wantPicks)
+			}
+		})
+	}
+}
+
+// However many upstreams fail, work still goes to most of them.
+func TestDirectoryEjectsAShareAtMost(t *testing.T) {
+	d := Directory{}
+	var members []fleet.Member
+	for i := range 10 {
+		members = append(members, member(i, "a"))
+	}
+	d.Update(snapshotOf(members...), nil)
+	for _, m := range members {
+		for range maxFailures * 3 {
+			d.Judge(time.Unix(0, 0), m, entry.Result{Outcome: foxtailstack.Unknown})
+		}
+	}
+	if got := len(picks(&d, time.Unix(0, 0), 500)); got != 7 {
+		t.Errorf("work goes to %d of 10 upstreams, expected 7", got)
+	}
+}
+
+func TestProposalAvoids(t *testing.T) {
+	draining := member(1, "a")
+	draining.Drain = true
+	leaving := map[foxtailstack.Address]bool{member(2, "a").Address: true}
+	now := time.Unix(0, 0)
+	d := Directory{Centre: "a"}
+	d.Update(snapshotOf(draining, member(2, "a"), member(3, "a"), member(4, "a"), member(5, "b")), leaving)
+	d.Saw(now, member(3, "a"), upstream.Load{Draining: true}, time.Millisecond)
+	d.Silent(member(5, "b"))
+	want := map[foxtailstack.UpstreamName]int{"w4": 100}
+	if diff := cmp.Diff(want, picks(&d, now, 100)); diff != "" {
+		t.Error(diff)
+	}
+	// One that answers no probes is better than none.
+	m, _ := d.Propose(now, entry.Query{
+		Service: service,
+		Tried:   []foxtailstack.UpstreamName{"w4"},
+	}).Pick(now)
+	if diff := cmp.Diff(member(5, "b"), m); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestProposalPicksTheCheapest(t *testing.T) {
+	now := time.Unix(0, 0)
+	query := entry.Query{
+		Service: service,
+		Prompt:  []byte("prompt"),
+	}
+	free := upstream.Load{Slots: 4}
+	full := upstream.Load{
+		Running: 4,
+		Slots:   4,
+		Service: 4 * time.Second,
+	}
+	d := Directory{Centre: "a"}
+	d.Update(snapshotOf(member(1, "a"), member(2, "a"), member(3, "b")), nil)
+	home, _ := d.Propose(now, query).Pick(now)
+	d.Done(now, home, entry.Result{Outcome: foxtailstack.Ran})
+	other := member(1, "a")
+	if home == other {
+		other = member(2, "a")
+	}
+	tests := []struct {
+		name              string
+		home, other, away upstream.Load
+		// before is the number of calls sent home since it was seen.
+		before int
+		want   fleet.Member
+	}{
+		{"home while it is free", free, free, free, 0, home},
+		{"second when home is full", full, free, free, 0, other},
+		{"another data centre when all here are full", full, full, free, 0, member(3, "b")},
+		{"second when own calls fill home", free, free, full, 5, other},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d.Saw(now, home, test.home, 0)
+			d.Saw(now, other, test.other, 0)
+			d.Saw(now, member(3, "b"), test.away, 3*time.Millisecond)
+			for range test.before {
+				d.find(home).inflight.Add(1)
+			}
+			got, _ := d.Propose(now, query).Pick(now)
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/balance/proposal.go
@@ -0,0 +1,200 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/entry"
+)
+
+// Proposal holds the candidates for one attempt, those decided by the prefix
+// first.
+type Proposal struct {
+	directory *Directory
+	peers     []*peer
+	// homes is the number of candidates that the prefix decides.
+	homes int
+}
+
+// Propose returns the candidates for an attempt. It is empty if no upstream of
+// the service takes new work.
+func (d *Directory) Propose(now time.Time, q entry.Query) Proposal {
+	g := d.service(q.Service)
+	proposal := Proposal{directory: d}
+	if len(q.Tried) == 0 {
+		if p := trial(now, g); p != nil {
+			proposal.peers = []*peer{p}
+			proposal.homes = 1
+			return proposal
+		}
+	}
+	sound := func(p *peer) bool {
+		return !p.closed() && p.sound() && !slices.Contains(q.Tried, p.member.ID.Upstream)
+	}
+	proposal.addHomes(PrefixOf(q.Prompt), g.local, sound)
+	proposal.addStrangers(g.local, strangers, sound)
+	more := 1
+	if len(proposal.peers) == 0 {
+		more = homes + strangers
+	}
+	proposal.addStrangers(g.remote, more, sound)
+	if len(proposal.peers) == 0 {
+		proposal.addAny(g, q.Tried)
+	}
+	return proposal
+}
+
+// trial returns an upstream that is to get a call on trial now, or nil.
+func trial(now time.Time, g *group) *peer {
+	for _, p := range g.local {
+		if !p.closed() && p.onTrial(now) {
+			return p
+		}
+	}
+	for _, p := range g.remote {
+		if !p.closed() && p.onTrial(now) {
+			return p
+		}
+	}
+	return nil
+}
+
+// addHomes adds the upstreams that rank first for the prefix.
+func (o *Proposal) addHomes(prefix Prefix, peers []*peer, fits func(*peer) bool) {
+	var first, second *peer
+	var firstRank, secondRank uint64
+	for _, p := range peers {
+		if !fits(p) {
+			continue
+		}
+		rank := weigh(prefix, p.hash)
+		switch {
+		case first == nil || rank > firstRank:
+			second, secondRank = first, firstRank
+			first, firstRank = p, rank
+		case second == nil || rank > secondRank:
+			second, secondRank = p, rank
+		}
+	}
+	for _, p := range []*peer{first, second} {
+		if p != nil {
+			o.peers = append(o.peers, p)
+		}
+	}
+	o.homes = len(o.peers)
+}
+
+// addStrangers adds at most n random upstreams.
+func (o *Proposal) addStrangers(peers []*peer, n int, fits func(*peer) bool) {
+	if len(peers) == 0 {
+		return
+	}
+	for range n * draws {
+		if n == 0 {
+			return
+		}
+		p := peers[o.directory.draw(len(peers))]
+		if fits(p) && !slices.Contains(o.peers, p) {
+			o.peers = append(o.peers, p)
+			n--
+		}
+	}
+}
+
+// addAny adds upstreams that take new work though they are not sound, untried
+// ones if there are any.
+func (o *Proposal) addAny(g *group, tried []foxtailstack.UpstreamName) {
+	var used []*peer
+	for _, p := range slices.Concat(g.local, g.remote) {
+		switch {
+		case p.closed():
+		case slices.Contains(tried, p.member.ID.Upstream):
+			used = append(used, p)
+		default:
+			o.peers = append(o.peers, p)
+		}
+	}
+	if len(o.peers) == 0 {
+		o.peers = used
+	}
+	if len(o.peers) > 0 {
+		at := o.directory.draw(len(o.peers))
+		o.peers = append(o.peers[at:], o.peers[:at]...)
+		o.peers = o.peers[:min(len(o.peers), homes+strangers)]
+	}
+}
+
+// Stale returns the candidates that no probe has seen within an age.
+func (o Proposal) Stale(now time.Time, limit time.Duration) []Target {
+	var stale []Target
+	for _, p := range o.peers {
+		if age, known := p.age(now); !known || age > limit {
+			stale = append(stale, p.member)
+		}
+	}
+	return stale
+}
+
+// Len returns the number of candidates.
+func (o Proposal) Len() int {
+	return len(o.peers)
+}
+
+// Pick returns the upstream for the attempt, which counts as in flight until
+// Done is called. It returns false if there are no candidates.
+func (o Proposal) Pick(now time.Time) (Target, bool) {
+	if len(o.peers) == 0 {
+		return Target{}, false
+	}
+	var balancer foxtailstack.Balancer = Cheapest{}
+	if o.directory.Balancer != nil {
+		balancer = o.directory.Balancer
+	}
+	p := o.peers[balancer.Pick(o.candidates(now))]
+	p.inflight.Add(1)
+	return p.member, true
+}
+
+// candidates returns what is known of each candidate.
+func (o Proposal) candidates(now time.Time) []foxtailstack.Candidate {
+	candidates := make([]foxtailstack.Candidate, 0, len(o.peers))
+	for i, p := range o.peers {
+		wait, known := p.wait()
+		age, _ := p.age(now)
+		candidates = append(candidates, foxtailstack.Candidate{
+			Name:     p.member.ID.Upstream,
+			Address:  p.member.Address,
+			Centre:   p.member.Centre,
+			Wait:     wait,
+			Known:    known,
+			Age:      age,
+			Distance: o.directory.distance(p),
+			Miss:     o.missAt(i),
+		})
+	}
+	return candidates
+}
+
+// missAt returns the expected time lost at the candidate of a rank: the home
+// holds the prefix, the next one often does.
+func (o Proposal) missAt(rank int) time.Duration {
+	switch {
+	case rank >= o.homes:
+		return o.directory.miss()
+	case rank == 0:
+		return 0
+	}
+	return o.directory.miss() / 2
+}
+
+// distance returns the time of the way to an upstream and back.
+func (d *Directory) distance(p *peer) time.Duration {
+	if p.member.Centre == d.Centre {
+		return 0
+	}
+	if seen := p.seen.Load(); seen != nil && seen.way > 0 {
+		return seen.way
+	}
+	return defaultWay
+}
--- a/balancer.go
+++ b/balancer.go
@@ -12,10 +12,11 @@
 	// Age is the time since Wait was seen; Known tells whether it ever was.
 	Age   time.Duration
 	Known bool
-	// Distance is the time of one way to the upstream.
+	// Distance is the time of the way to the upstream and back.
 	Distance time.Duration
-	// Cached tells that the upstream probably holds the prefix of the prompt.
-	Cached bool
+	// Miss is the expected time lost because the upstream does not hold the
+	// prefix of the prompt.
+	Miss time.Duration
 }
 
 // Balancer picks the upstream for one attempt.
--- a/entry/choose.go
+++ b/entry/choose.go
@@ -7,6 +7,7 @@
 
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/fleet"
+	"github.com/foxtailstack/foxtailstack/wire"
 )
 
 // bytesPerToken estimates the length of a token of a prompt in bytes.
@@ -26,6 +27,10 @@
 	Outcome foxtailstack.Outcome
 	// Refused is set if the sidecar itself refused the attempt.
 	Refused bool
+	// Unreachable is set if no connection to the sidecar could be made.
+	Unreachable bool
+	// Canceled is set if the caller went away before the attempt ended.
+	Canceled bool
 	// Latency is the time of the whole attempt.
 	Latency time.Duration
 }
@@ -45,16 +50,18 @@
 	Admit(name foxtailstack.TeamName, cost foxtailstack.Tokens) (retry time.Duration, ok bool)
 }
 
-// resultOf returns the result of an attempt that ended with err.
-func resultOf(err error, latency time.Duration) Result {
+// resultOf returns the result of an attempt under ctx that ended with err.
+func resultOf(ctx context.Context, err error, latency time.Duration) Result {
 	result := Result{
-		Outcome: foxtailstack.Ran,
-		Latency: latency,
+		Outcome:  foxtailstack.Ran,
+		Latency:  latency,
+		Canceled: errors.Is(ctx.Err(), context.Canceled),
 	}
 	var failed *AttemptError
 	if errors.As(err, &failed) {
 		result.Outcome = failed.Outcome
 		result.Refused = failed.Outcome == foxtailstack.NotRun && failed.Err == nil
+		result.Unreachable = errors.Is(err, wire.ErrUnreachable)
 	}
 	return result
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -160,7 +160,7 @@
 		})
 		began := time.Now()
 		last = a.run(ctx, s, out)
-		s.Chooser.Report(member, resultOf(last, time.Since(began)))
+		s.Chooser.Report(member, resultOf(ctx, last, time.Since(began)))
 		if last == nil || !retryable(req, last, out) || ctx.Err() != nil {
 			break
 		}
--- a/node/entry.go
+++ b/node/entry.go
@@ -5,11 +5,13 @@
 	"net"
 
 	"github.com/alexedwards/flow"
+	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/balance"
 	"github.com/foxtailstack/foxtailstack/booking"
 	"github.com/foxtailstack/foxtailstack/entry"
 	"github.com/foxtailstack/foxtailstack/fleet"
 	"github.com/foxtailstack/foxtailstack/keys"
+	"github.com/foxtailstack/foxtailstack/platform"
 	"github.com/foxtailstack/foxtailstack/settings"
 	"github.com/foxtailstack/foxtailstack/team"
 	"go.uber.org/zap"
@@ -19,6 +21,7 @@
 type Entry struct {
 	*base
 	replica  *fleet.Replica
+	chooser  *balance.Chooser
 	listener net.Listener
 	handler  *flow.Mux
 }
@@ -38,12 +41,18 @@
 	if err != nil {
 		return nil, err
 	}
+	e.chooser = &balance.Chooser{
+		Replica:   e.replica,
+		Client:    e.client,
+		Centre:    cfg.Centre,
+		Instances: listOf(cfg),
+	}
 	callers := &entry.Server{
 		Replica:  e.replica,
 		Client:   e.client,
 		Recorder: booking.Recorder{Table: e.table},
 		Ring:     e.ring,
-		Chooser:  &balance.Chooser{Replica: e.replica},
+		Chooser:  e.chooser,
 		Limiter:  &team.Limiter{},
 	}
 	callers.Routes(e.handler)
@@ -75,6 +84,7 @@
 		Replica: e.replica,
 	}
 	go poller.Run(background)
+	go e.chooser.Run(background)
 	go e.serveStatus(background, func() bool { return e.replica.Snapshot().Revision > 0 })
 	go func() { _ = e.mux.Serve(background) }()
 	err := serveHTTP(ctx, e.listener, e.handler, e.grace())
@@ -82,3 +92,11 @@
 	e.log.Info("entry stopped")
 	return err
 }
+
+// listOf returns the platform's list of instances, or nil if there is none.
+func listOf(cfg settings.Settings) foxtailstack.InstanceList {
+	if cfg.Platform.List == "" {
+		return nil
+	}
+	return platform.NewDiscovery(cfg.Platform.List)
+}
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -45,6 +45,7 @@
 		return s.replica.Snapshot().Teams[name].Weight
 	})
 	s.mux.Handle(upstream.StreamAttempt, server.ServeAttempt)
+	s.mux.Handle(upstream.StreamProbe, server.ServeProbe)
 	responder := booking.Responder{
 		Incarnation: server.Incarnation,
 		Ledger:      server.Ledger,
