--- a/node/entry.go
+++ b/node/entry.go
@@ -7,11 +7,13 @@
 	"time"
 
 	"github.com/alexedwards/flow"
+	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/balance"
 	"github.com/foxtailstack/foxtailstack/booking"
 	"github.com/foxtailstack/foxtailstack/entry"
 	"github.com/foxtailstack/foxtailstack/fleet"
 	"github.com/foxtailstack/foxtailstack/keys"
+	"github.com/foxtailstack/foxtailstack/platform"
 	"github.com/foxtailstack/foxtailstack/settings"
 	"github.com/foxtailstack/foxtailstack/team"
 	"go.uber.org/zap"
@@ -21,6 +23,7 @@
 type Entry struct {
 	*base
 	replica  *fleet.Replica
+	chooser  *balance.Chooser
 	listener net.Listener
 	handler  *flow.Mux
 	callers  *entry.Server
@@ -41,12 +44,18 @@
 	if err != nil {
 		return nil, err
 	}
+	e.chooser = &balance.Chooser{
+		Replica:   e.replica,
+		Client:    e.client,
+		Centre:    cfg.Centre,
+		Instances: listOf(cfg),
+	}
 	e.callers = &entry.Server{
 		Replica:  e.replica,
 		Client:   e.client,
 		Recorder: booking.Recorder{Table: e.table},
 		Ring:     e.ring,
-		Chooser:  &balance.Chooser{Replica: e.replica},
+		Chooser:  e.chooser,
 		Limiter:  &team.Limiter{},
 	}
 	e.callers.Routes(e.handler)
@@ -81,6 +90,7 @@
 	go poller.Run(background)
 	go e.serveStatus(background)
 	go e.awaitConfig(background, e.replica)
+	go e.chooser.Run(background)
 	go func() { _ = e.mux.Serve(background) }()
 	err := serveHTTP(ctx, e.listener, e.handler, e.grace(), e.drain)
 	e.client.Close()
@@ -100,3 +110,11 @@
 	<-lingered
 	return nil
 }
+
+// listOf returns the platform's list of instances, or nil if there is none.
+func listOf(cfg settings.Settings) foxtailstack.InstanceList {
+	if cfg.Platform.List == "" {
+		return nil
+	}
+	return platform.NewDiscovery(cfg.Platform.List)
+}
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -42,7 +42,11 @@
 		Recorder:    booking.Recorder{Table: s.table},
 		Ring:        s.ring,
 	}
+	s.gate.SetWeight(func(name foxtailstack.TeamName) float64 {
+		return s.replica.Snapshot().Teams[name].Weight
+	})
 	s.mux.Handle(upstream.StreamAttempt, s.server.ServeAttempt)
+	s.mux.Handle(upstream.StreamProbe, s.server.ServeProbe)
 	responder := booking.Responder{
 		Incarnation: s.server.Incarnation,
 		Ledger:      s.server.Ledger,
