Settle what became of a booking before anyone is told

A reading of the run-once path found these faults: - An attempt that lost its claim to another request was answered notrun while the other one ran. The entry now joins the other attempt. - The sidecar told the caller the whole answer before it was in the table, so that its death turned a booking answered ran into an unknown one. The last frame now follows the write. - Recording kept the slot and looped for as long as the table was down. A Flusher writes in the background with its own accounting; a planned stop waits for it within the grace period and logs what stays unwritten. - An answer beyond 256 KiB was cut short in its record. Long answers go to the object store, with length and sum; one beyond 8 MiB makes the booking unknown, never short. - A write of the answer whose own answer was lost ended as a conflict. - A claim read back was taken as held in whatever state it was. - The ledger kept every attempt for ever. It now holds an attempt until its outcome is in the table; what it does not hold cannot start, and a finding of notrun holds only if the record is unchanged when it is read again. - Ledger.Wait read a field outside the lock. - Records ended after 30 days, after which a key would have run again. - An engine that refused the connection made a booking unknown; it is notrun. - A stream that broke before Run was answered unknown; it is notrun. - An unknown outcome was seen by nobody but the caller. It is marked in the record, listed under booking-unknown, and operators settle it by an API. The fencing number orders the claims of one key, so the engine gets the key with it.

The life cycle of an attempt in the ledger is a state machine. Ruled out: an index of all open claims in the claim's transaction, which doubles the rows written for each booking.

--- a/booking/ledger.go
+++ b/booking/ledger.go
@@ -8,24 +8,21 @@
 	"github.com/foxtailstack/foxtailstack"
 )
 
+// maxAttempts is the highest number of attempts in a Ledger. It bounds the
+// answers that wait in memory while the table is down.
+const maxAttempts = 1024
+
 // Ledger lets each attempt start at most once in one incarnation of a sidecar.
+// It holds an attempt from its reservation until its outcome is in the table or
+// it is known never to start; an attempt that it does not hold cannot start.
 // The zero value is ready for use.
 type Ledger struct {
 	mu       sync.Mutex
 	attempts map[foxtailstack.AttemptID]*entry
 }
 
-// entry is what the ledger knows of one attempt.
-type entry struct {
-	started bool
-	barred  bool
-	expires time.Time
-	done    chan struct{}
-	answer  Answer
-	ok      bool
-}
-
-// Reserve admits an attempt, which must start before the reservation expires.
+// Reserve admits an attempt, which must start within d by the clock of this
+// process. It returns ErrFull if the ledger holds too many attempts.
 func (l *Ledger) Reserve(attempt foxtailstack.AttemptID, d time.Duration) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -35,72 +32,110 @@
 	if l.attempts[attempt] != nil {
 		return ErrBarred
 	}
+	if len(l.attempts) >= maxAttempts {
+		return ErrFull
+	}
 	l.attempts[attempt] = &entry{
+		stage:   reserved,
 		expires: time.Now().Add(d),
-		done:    make(chan struct{}),
+		known:   make(chan struct{}),
 	}
 	return nil
 }
 
 // Start marks an attempt as started. It returns ErrBarred if the attempt has
-// started before, was barred, or its reservation has expired.
+// started before, was barred or dropped, or its reservation has lapsed.
 func (l *Ledger) Start(attempt foxtailstack.AttemptID) error {
+	return l.fire(attempt, triggerStart)
+}
+
+// Finish marks that a started attempt has an answer, which is not recorded yet.
+func (l *Ledger) Finish(attempt foxtailstack.AttemptID) error {
+	return l.fire(attempt, triggerFinish)
+}
+
+// Fail marks that an attempt broke off after it started, so that it is not
+// known whether it ran.
+func (l *Ledger) Fail(attempt foxtailstack.AttemptID) error {
+	return l.fire(attempt, triggerFail)
+}
+
+// Refuse marks that the engine has seen nothing of a started attempt.
+func (l *Ledger) Refuse(attempt foxtailstack.AttemptID) error {
+	return l.fire(attempt, triggerRefuse)
+}
+
+// Record forgets an attempt whose outcome is in the table.
+func (l *Ledger) Record(attempt foxtailstack.AttemptID) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.attempts[attempt]
-	if e == nil || e.started || e.barred || time.Now().After(e.expires) {
+	if e == nil {
 		return ErrBarred
 	}
-	e.started = true
-	return nil
+	err := e.fire(triggerRecord)
+	if err == nil {
+		delete(l.attempts, attempt)
+	}
+	return err
 }
 
-// Finish keeps the answer of a started attempt. With ok false the attempt
-// failed after it started, so that it is not known whether it ran.
-func (l *Ledger) Finish(attempt foxtailstack.AttemptID, answer Answer, ok bool) {
+// Drop forgets an attempt that has not run and keeps it from starting. It has
+// no effect on an attempt that may have reached the engine.
+func (l *Ledger) Drop(attempt foxtailstack.AttemptID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.attempts[attempt]
-	if e == nil || !e.started {
-		return
+	if e != nil && e.fire(triggerBar) == nil {
+		delete(l.attempts, attempt)
 	}
-	e.answer, e.ok = answer, ok
-	close(e.done)
 }
 
-// Bar keeps an attempt from starting for good. It reports whether it came
-// before the start.
-func (l *Ledger) Bar(attempt foxtailstack.AttemptID) bool {
+// Len returns the number of attempts that the ledger holds.
+func (l *Ledger) Len() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.attempts == nil {
-		l.attempts = map[foxtailstack.AttemptID]*entry{}
-	}
+	return len(l.attempts)
+}
+
+// Ask returns the outcome of an attempt. It bars one that has not started and
+// waits while one runs or its answer is not recorded; if ctx ends before that,
+// the Finding says Running.
+func (l *Ledger) Ask(ctx context.Context, attempt foxtailstack.AttemptID) Finding {
+	l.mu.Lock()
 	e := l.attempts[attempt]
 	if e == nil {
-		e = &entry{done: make(chan struct{})}
-		l.attempts[attempt] = e
+		l.mu.Unlock()
+		return Finding{Outcome: foxtailstack.NotRun}
 	}
-	if e.started {
-		return false
+	_ = e.fire(triggerBar) // an attempt that has started is waited for
+	l.mu.Unlock()
+	select {
+	case <-e.known:
+	case <-ctx.Done():
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch e.stage {
+	case recorded:
+		return Finding{Outcome: foxtailstack.Ran}
+	case barred:
+		return Finding{Outcome: foxtailstack.NotRun}
+	default:
+		return Finding{
+			Outcome: foxtailstack.Unknown,
+			Running: e.stage != failed,
+		}
 	}
-	e.barred = true
-	return true
 }
 
-// Wait waits until a started attempt has ended and returns its answer. It
-// returns false if the attempt failed, never started, or ctx ended first.
-func (l *Ledger) Wait(ctx context.Context, attempt foxtailstack.AttemptID) (Answer, bool) {
+// fire moves an attempt.
+func (l *Ledger) fire(attempt foxtailstack.AttemptID, t trigger) error {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	e := l.attempts[attempt]
-	l.mu.Unlock()
-	if e == nil || !e.started {
-		return Answer{}, false
-	}
-	select {
-	case <-e.done:
-		return e.answer, e.ok
-	case <-ctx.Done():
-		return Answer{}, false
+	if e == nil {
+		return ErrBarred
 	}
+	return e.fire(t)
 }
--- a/booking/recorder.go
+++ b/booking/recorder.go
@@ -10,16 +10,15 @@
 	"github.com/foxtailstack/foxtailstack/wire"
 )
 
-const (
-	// retention is how long a record is kept.
-	retention = 30 * 24 * time.Hour
-	// settleTries bounds the reads after a lost answer of the table.
-	settleTries = 4
-)
+// settleTries bounds the reads after a lost answer of the table.
+const settleTries = 4
 
-// Recorder keeps the records of bookings in the table.
+// Recorder keeps the records of bookings in the table, for good.
 type Recorder struct {
 	Table foxtailstack.Table
+	// Objects keeps the answers that are too long for a row. Without it they
+	// are not recorded.
+	Objects foxtailstack.ObjectStore
 }
 
 // Lookup returns the record under key and whether there is one.
@@ -34,7 +33,7 @@
 	record := Record{}
 	err = wire.Unmarshal(row.Value, &record)
 	if err != nil {
-		return Record{}, false, fmt.Errorf("record of booking: %w", err)
+		return Record{}, false, fmt.Errorf("%w: record: %w", ErrUnsettled, err)
 	}
 	record.Version = row.Version
 	return record, true, nil
@@ -42,8 +41,9 @@
 
 // Claim claims key for an attempt in place of the record of version expect;
 // zero means that there is none. It returns the fencing number of the claim. It
-// returns ErrClaimed if another attempt came first and ErrUnavailable if the
-// claim cannot be confirmed, in which case the attempt must not run.
+// returns ErrClaimed if another writer came first and ErrUnavailable if the
+// claim cannot be confirmed. After an error the attempt must not run; the claim
+// may still take effect later, and then names an attempt that never starts.
 func (r Recorder) Claim(
 	ctx context.Context,
 	key Key,
@@ -52,15 +52,17 @@
 	expect foxtailstack.Version,
 ) (foxtailstack.FencingNumber, error) {
 	record := Record{
-		State:   Claimed,
-		Digest:  digest,
-		Claim:   claim,
-		Claimed: time.Now(),
+		State:  Claimed,
+		Digest: digest,
+		Claim:  claim,
+		At:     time.Now().UTC(),
 	}
-	err := r.write(ctx, key, record, expect)
+	number := foxtailstack.FencingNumber(expect + 1)
+	var err error
 	for range settleTries {
+		err = r.commit(ctx, key, record, expect)
 		if err == nil {
-			return foxtailstack.FencingNumber(expect + 1), nil
+			return number, nil
 		}
 		if errors.Is(err, foxtailstack.ErrUnavailable) || ctx.Err() != nil {
 			break
@@ -68,20 +70,19 @@
 		current, found, lookupErr := r.Lookup(ctx, key)
 		switch {
 		case lookupErr != nil:
-			err = lookupErr
-		case found && current.Version > expect && current.Claim.Attempt == claim.Attempt:
-			return foxtailstack.FencingNumber(expect + 1), nil
-		case found && current.Version > expect:
+			return 0, fmt.Errorf("%w: %w", ErrUnavailable, lookupErr)
+		case found && current.heldBy(claim, number):
+			return number, nil
+		case current.Version != expect:
 			return 0, ErrClaimed
-		default:
-			err = r.write(ctx, key, record, expect)
 		}
 	}
 	return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
 }
 
 // Finish stores the answer of the attempt that holds the claim with the given
-// fencing number. It may be repeated.
+// fencing number. It may be repeated. It returns ErrClaimed if the record is no
+// longer that attempt's and ErrTooLong if the answer cannot be kept whole.
 func (r Recorder) Finish(
 	ctx context.Context,
 	key Key,
@@ -90,33 +91,96 @@
 	number foxtailstack.FencingNumber,
 	answer Answer,
 ) error {
-	record := Record{
-		State:   Done,
-		Digest:  digest,
-		Claim:   claim,
-		Answer:  answer,
-		Claimed: time.Now(),
-	}
-	err := r.write(ctx, key, record, foxtailstack.Version(number))
-	if errors.Is(err, foxtailstack.ErrConflict) {
-		return ErrClaimed
-	}
+	kept, err := r.store(ctx, claim.Attempt, answer)
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return err
+	}
+	return r.conclude(ctx, key, number, Record{
+		State:  Done,
+		Digest: digest,
+		Claim:  claim,
+		Answer: kept,
+	})
+}
+
+// Lose marks the outcome of the attempt that holds the claim with the given
+// fencing number as unknown and lists the booking for operators. It leaves a
+// record that is Done as it is.
+func (r Recorder) Lose(
+	ctx context.Context,
+	key Key,
+	digest Digest,
+	claim Claim,
+	number foxtailstack.FencingNumber,
+) error {
+	return r.conclude(ctx, key, number, Record{
+		State:  Lost,
+		Digest: digest,
+		Claim:  claim,
+	})
+}
+
+// conclude writes the outcome of a claim. An outcome that is known replaces one
+// that was Lost; nothing replaces a known one.
+func (r Recorder) conclude(ctx context.Context, key Key, number foxtailstack.FencingNumber, record Record) error {
+	record.At = time.Now().UTC()
+	expect := foxtailstack.Version(number)
+	index := record.State == Lost
+	var err error
+	for range settleTries {
+		err = r.commitIndexed(ctx, key, record, expect, index)
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, ErrUnavailable) || errors.Is(err, foxtailstack.ErrUnavailable) || ctx.Err() != nil {
+			break
+		}
+		current, found, lookupErr := r.Lookup(ctx, key)
+		if lookupErr != nil {
+			return fmt.Errorf("%w: %w", ErrUnavailable, lookupErr)
+		}
+		switch {
+		case !found, current.Claim.Attempt != record.Claim.Attempt, current.Settlement != nil:
+			return ErrClaimed
+		case current.State == Done, current.State == record.State:
+			return nil
+		}
+		expect = current.Version
+		index = index || current.State == Lost
 	}
-	return nil
+	return fmt.Errorf("%w: %w", ErrUnavailable, err)
 }
 
-// write writes a record in place of the one of version expect.
-func (r Recorder) write(ctx context.Context, key Key, record Record, expect foxtailstack.Version) error {
+// commit writes a record in place of the one of version expect.
+func (r Recorder) commit(ctx context.Context, key Key, record Record, expect foxtailstack.Version) error {
+	return r.commitIndexed(ctx, key, record, expect, false)
+}
+
+// commitIndexed writes a record and, if asked to, its place in the index of
+// unsettled bookings.
+func (r Recorder) commitIndexed(
+	ctx context.Context,
+	key Key,
+	record Record,
+	expect foxtailstack.Version,
+	index bool,
+	more ...foxtailstack.Write,
+) error {
 	value, err := wire.Marshal(record)
 	if err != nil {
 		return err
 	}
-	return r.Table.Commit(ctx, foxtailstack.Write{
-		Key:     key.row(),
-		Expect:  expect,
-		Value:   value,
-		Expires: time.Now().Add(retention),
-	})
+	writes := append([]foxtailstack.Write{{
+		Key:    key.row(),
+		Expect: expect,
+		Value:  value,
+	}}, more...)
+	if index {
+		entry, err := r.indexWrite(ctx, key, record.State == Lost)
+		if err != nil {
+			return err
+		}
+		writes = append(writes, entry)
+	}
+	return r.Table.Commit(ctx, writes...)
 }
--- a/engine.go
+++ b/engine.go
@@ -34,8 +34,11 @@
 	Stream bool
 	// Resume is the number of events that the caller already has.
 	Resume uint64
-	// Fencing is the number of the claim; zero for idempotent calls.
+	// Fencing is the number of the claim among the claims of Booking; zero for
+	// idempotent calls.
 	Fencing FencingNumber
+	// Booking is the key that the call is made under; empty for idempotent calls.
+	Booking string
 }
 
 // EngineAnswer is the answer of an engine. The receiver closes Body.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -55,6 +55,9 @@
 			Reserve:     !a.request.policy.Idempotent,
 		},
 	})
+	if err != nil && !a.request.policy.Idempotent {
+		return notRun(upstream.ReasonDown, 0, err) // without Run it never starts
+	}
 	if err != nil {
 		return a.lost(err)
 	}
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -2,18 +2,30 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"time"
 
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/booking"
+	"github.com/foxtailstack/foxtailstack/timeline"
 	"github.com/foxtailstack/foxtailstack/upstream"
 )
 
+// suspectTimeout bounds the listing of a booking whose outcome is unknown.
+const suspectTimeout = 5 * time.Second
+
+// EventUnknown is the event of a booking whose caller was told unknown.
+const EventUnknown timeline.Kind = "booking-unknown"
+
 // claim waits for the reservation, claims the booking's key and lets the
-// attempt start.
+// attempt start. Until Run is sent the attempt cannot start, so that every
+// error before that means that it has not run.
 func (a *attempt) claim(ctx context.Context, s *Server) error {
 	frame, err := a.next()
-	if err != nil {
-		return err
+	var failed *AttemptError
+	if errors.As(err, &failed) {
+		return notRun(failed.Reason, failed.Retry, failed.Err)
 	}
 	if frame.Reserved == nil {
 		return notRun(upstream.ReasonBarred, 0, ErrBroken)
@@ -45,45 +57,96 @@
 	if err != nil {
 		return unknown(upstream.ReasonFailed, err)
 	}
+	// An attempt that the sidecar refuses from here on leaves its claim behind,
+	// which the next attempt replaces.
+	a.request.replaces = foxtailstack.Version(number)
 	return nil
 }
 
+// Resolver returns what finds out the outcome of a booking.
+func (s *Server) Resolver() booking.Resolver {
+	return booking.Resolver{
+		Recorder: s.Recorder,
+		Inquire:  s.inquire,
+	}
+}
+
 // repeat answers a booking that has been recorded before. It reports whether
-// the request needs no attempt, and otherwise the version of the record that an
-// attempt may replace.
-func (s *Server) repeat(ctx context.Context, req *request, out *response) (bool, foxtailstack.Version, error) {
-	record, found, err := s.Recorder.Lookup(ctx, req.bookingKey())
+// the request needs no attempt; otherwise the next attempt may replace the
+// record, if there is one.
+func (s *Server) repeat(ctx context.Context, req *request, out *response) (bool, error) {
+	key := req.bookingKey()
+	err := key.Check()
 	if err != nil {
-		return false, 0, notRun("", 0, err)
+		return false, notRun("", 0, err)
 	}
-	if !found {
-		return false, 0, nil
+	resolution, err := s.Resolver().Resolve(ctx, key, booking.DigestOf(req.body))
+	switch {
+	case errors.Is(err, booking.ErrMismatch):
+		return false, notRun(upstream.ReasonBarred, 0, err)
+	case errors.Is(err, booking.ErrLost), errors.Is(err, booking.ErrUnsettled):
+		s.suspect(req, err)
+		return false, unknown(upstream.ReasonFailed, err)
+	case err != nil:
+		return false, notRun("", 0, err)
+	case resolution.Outcome == foxtailstack.Ran:
+		return true, out.whole(resolution.Answer)
 	}
-	if record.Digest != booking.DigestOf(req.body) {
-		return false, 0, notRun(upstream.ReasonBarred, 0, booking.ErrMismatch)
+	req.replaces = resolution.Version
+	return false, nil
+}
+
+// rejoin turns the error of an attempt into what is known of the booking: if
+// another request holds the key, or it is not known whether the attempt ran, the
+// record and the sidecar that it names are asked.
+func (s *Server) rejoin(ctx context.Context, req *request, out *response, last error) error {
+	var failed *AttemptError
+	claimed := errors.Is(last, booking.ErrClaimed)
+	if !errors.As(last, &failed) || (failed.Outcome == foxtailstack.NotRun && !claimed) {
+		return last
 	}
-	if record.State == booking.Done {
-		return true, 0, out.whole(record.Answer)
+	if out.begun || ctx.Err() != nil {
+		s.suspect(req, last)
+		return unknown(failed.Reason, last)
 	}
-	finding, err := s.inquire(ctx, record.Claim)
-	if err != nil {
-		return false, 0, unknown(upstream.ReasonDown, err)
+	done, err := s.repeat(ctx, req, out)
+	switch {
+	case done:
+		return err
+	case errors.Is(err, booking.ErrUnavailable):
+		s.suspect(req, last)
+		return unknown(failed.Reason, fmt.Errorf("%w: %w", booking.ErrUnsettled, err))
+	case err != nil:
+		return err
 	}
-	switch finding.Outcome {
-	case foxtailstack.Ran:
-		return true, 0, out.whole(finding.Answer)
-	case foxtailstack.NotRun:
-		return false, record.Version, nil
+	return notRun(upstream.ReasonBarred, 0, nil)
+}
+
+// suspect lists a booking whose caller is told that its outcome is unknown, in
+// the background.
+func (s *Server) suspect(req *request, err error) {
+	s.Ring.Record(timeline.Event{
+		Kind:     EventUnknown,
+		Resource: req.id.String(),
+		Text:     err.Error(),
+	})
+	if errors.Is(err, booking.ErrLost) {
+		return // it is listed already
 	}
-	return false, 0, unknown(upstream.ReasonFailed, booking.ErrClaimed)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), suspectTimeout)
+		defer cancel()
+		_ = s.Recorder.Suspect(ctx, req.bookingKey()) // the caller may come back
+	}()
 }
 
-// inquire asks the sidecar that a claim names how the attempt went.
-func (s *Server) inquire(ctx context.Context, claim booking.Claim) (booking.Finding, error) {
+// inquire asks the sidecar at an address how an attempt went.
+func (s *Server) inquire(
+	ctx context.Context,
+	address foxtailstack.Address,
+	inquiry booking.Inquiry,
+) (booking.Finding, error) {
 	var finding booking.Finding
-	err := s.Client.Call(ctx, claim.Address, booking.StreamInquiry, booking.Inquiry{
-		Attempt:     claim.Attempt,
-		Incarnation: claim.Incarnation,
-	}, &finding)
+	err := s.Client.Call(ctx, address, booking.StreamInquiry, inquiry, &finding)
 	return finding, err
 }
--- a/entry/response.go
+++ b/entry/response.go
@@ -118,6 +118,9 @@
 	if errors.Is(err, booking.ErrMismatch) {
 		return refuse(http.StatusUnprocessableEntity, err.Error())
 	}
+	if errors.Is(err, booking.ErrKey) {
+		return refuse(http.StatusBadRequest, err.Error())
+	}
 	p := &problem{
 		Status: http.StatusBadGateway,
 		Detail: err.Error(),
--- a/entry/server.go
+++ b/entry/server.go
@@ -130,11 +130,10 @@
 // dispatch makes attempts until one answers or no more are allowed.
 func (s *Server) dispatch(ctx context.Context, req *request, out *response) error {
 	if !req.policy.Idempotent {
-		done, version, err := s.repeat(ctx, req, out)
+		done, err := s.repeat(ctx, req, out)
 		if done || err != nil {
 			return err
 		}
-		req.replaces = version
 	}
 	var last error = notRun("", 0, ErrNoUpstream)
 	var tried []foxtailstack.UpstreamName
@@ -161,6 +160,9 @@
 		began := time.Now()
 		last = a.run(ctx, s, out)
 		s.Chooser.Report(member, resultOf(last, time.Since(began)))
+		if !req.policy.Idempotent {
+			last = s.rejoin(ctx, req, out, last)
+		}
 		if last == nil || !retryable(req, last, out) || ctx.Err() != nil {
 			break
 		}
@@ -171,7 +173,7 @@
 // retryable reports whether another attempt may follow err.
 func retryable(req *request, err error, out *response) bool {
 	var failed *AttemptError
-	if !errors.As(err, &failed) || out.begun || errors.Is(err, booking.ErrClaimed) {
+	if !errors.As(err, &failed) || out.begun {
 		return false
 	}
 	return failed.Outcome == foxtailstack.NotRun || req.policy.Idempotent
--- a/node/entry.go
+++ b/node/entry.go
@@ -41,7 +41,7 @@
 	callers := &entry.Server{
 		Replica:  e.replica,
 		Client:   e.client,
-		Recorder: booking.Recorder{Table: e.table},
+		Recorder: e.recorder(),
 		Ring:     e.ring,
 		Chooser:  &balance.Chooser{Replica: e.replica},
 		Limiter:  &team.Limiter{},
@@ -52,6 +52,8 @@
 		Replica: e.replica,
 	}
 	operators.Routes(e.handler)
+	bookings := &booking.API{Resolver: callers.Resolver()}
+	bookings.Routes(e.handler, nil)
 	return e, nil
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/booking"
 	"github.com/foxtailstack/foxtailstack/keys"
 	"github.com/foxtailstack/foxtailstack/platform"
 	"github.com/foxtailstack/foxtailstack/settings"
@@ -33,6 +34,7 @@
 	log      *zap.Logger
 	ring     *timeline.Ring
 	table    foxtailstack.Table
+	objects  foxtailstack.ObjectStore
 	client   *wire.Client
 	mux      wire.Mux
 	peers    net.Addr
@@ -50,10 +52,24 @@
 			Access: cfg.Platform.Access,
 			Secret: cfg.Platform.Secret,
 		}, cfg.Platform.Name),
+		objects: platform.NewS3(platform.Endpoint{
+			URL:    cfg.Platform.Objects,
+			Region: cfg.Platform.Region,
+			Access: cfg.Platform.Access,
+			Secret: cfg.Platform.Secret,
+		}, cfg.Platform.Bucket),
 		client: wire.NewClient(config.Peer),
 	}
 }
 
+// recorder returns the recorder of bookings.
+func (b *base) recorder() booking.Recorder {
+	return booking.Recorder{
+		Table:   b.table,
+		Objects: b.objects,
+	}
+}
+
 // listenPeers binds the address for other processes.
 func (b *base) listenPeers(config keys.Config) error {
 	addr, err := b.mux.Listen(string(b.settings.Listen.Peers), config.Peer)
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"time"
 
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/booking"
@@ -23,6 +22,7 @@
 	*base
 	replica *fleet.Replica
 	gate    *upstream.Gate
+	flusher *booking.Flusher
 }
 
 // NewSidecar binds the address of a sidecar.
@@ -38,9 +38,13 @@
 		Engine:      upstream.NewHTTPEngine(cfg.Upstream.Engine),
 		Gate:        s.gate,
 		Ledger:      &booking.Ledger{},
-		Recorder:    booking.Recorder{Table: s.table},
 		Ring:        s.ring,
 	}
+	s.flusher = &booking.Flusher{
+		Recorder: s.recorder(),
+		Ledger:   server.Ledger,
+	}
+	server.Flusher = s.flusher
 	s.mux.Handle(upstream.StreamAttempt, server.ServeAttempt)
 	responder := booking.Responder{
 		Incarnation: server.Incarnation,
@@ -73,9 +77,20 @@
 		return err
 	case <-ctx.Done():
 	}
+	limited, stop := context.WithTimeout(background, s.grace())
+	defer stop()
 	select {
 	case <-s.gate.Drain():
-	case <-time.After(s.grace()):
+	case <-limited.Done():
+		return ErrGrace
+	}
+	for _, key := range s.flusher.Wait(limited) {
+		s.log.Error("booking has no record",
+			zap.String("team", string(key.Team)),
+			zap.Stringer("service", key.Service),
+			zap.String("key", key.Idempotency))
+	}
+	if limited.Err() != nil {
 		return ErrGrace
 	}
 	cancel()
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -19,6 +20,7 @@
 const (
 	headerAttempt  = "X-Request-Id"
 	headerFencing  = "X-Fencing-Number"
+	headerBooking  = "X-Booking-Key"
 	headerPriority = "X-Priority"
 	headerTeam     = "X-Team"
 	headerResume   = "Last-Event-ID"
@@ -37,24 +39,24 @@
 // as server-sent events.
 type HTTPEngine struct {
 	client *http.Client
-	url    string
+	base   string
 }
 
-// NewHTTPEngine returns the engine at url.
-func NewHTTPEngine(url string) *HTTPEngine {
+// NewHTTPEngine returns the engine at a URL.
+func NewHTTPEngine(address string) *HTTPEngine {
 	return &HTTPEngine{
 		client: &http.Client{Transport: &http.Transport{
 			MaxIdleConnsPerHost: maxConns,
 			DisableCompression:  true,
 		}},
-		url: url,
+		base: address,
 	}
 }
 
 // Run hands one call to the engine and returns its answer, whose body the
 // caller closes.
 func (e *HTTPEngine) Run(ctx context.Context, call foxtailstack.EngineCall) (foxtailstack.EngineAnswer, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, e.url+call.Path, bytes.NewReader(call.Body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		return foxtailstack.EngineAnswer{}, fmt.Errorf("%w: %w", foxtailstack.ErrEngineRefused, err)
 	}
@@ -72,6 +74,7 @@
 	}
 	if call.Fencing > 0 {
 		request.Header.Set(headerFencing, strconv.FormatUint(uint64(call.Fencing), 10))
+		request.Header.Set(headerBooking, url.QueryEscape(call.Booking))
 	}
 	response, err := e.client.Do(request)
 	if err != nil {
@@ -120,7 +123,7 @@
 		}
 		content = bytes.NewReader(data)
 	}
-	request, err := http.NewRequestWithContext(ctx, method, e.url+path, content)
+	request, err := http.NewRequestWithContext(ctx, method, e.base+path, content)
 	if err != nil {
 		return fmt.Errorf("%w: %w", foxtailstack.ErrEngineFailed, err)
 	}
--- a/upstream/frame.go
+++ b/upstream/frame.go
@@ -73,6 +73,11 @@
 	}
 }
 
+// String returns the name of the key among those of all teams and services.
+func (k BookingKey) String() string {
+	return string(k.Team) + "/" + k.Key().Service.String() + "/" + k.Idempotency
+}
+
 // Head begins an answer.
 type Head struct {
 	Status      int    `cbor:"1,keyasint"`
--- a/upstream/server.go
+++ b/upstream/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
 
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/booking"
@@ -12,12 +13,8 @@
 	"github.com/zeebo/xxh3"
 )
 
-const (
-	// chunkSize is the size of the largest piece of an answer in bytes.
-	chunkSize = 16 << 10
-	// maxAnswer is the length of the longest recorded answer in bytes.
-	maxAnswer = 256 << 10
-)
+// chunkSize is the size of the largest piece of an answer in bytes.
+const chunkSize = 16 << 10
 
 // Events of the sidecar.
 const (
@@ -36,7 +33,7 @@
 	Engine      foxtailstack.Engine
 	Gate        *Gate
 	Ledger      *booking.Ledger
-	Recorder    booking.Recorder
+	Flusher     *booking.Flusher
 	Ring        *timeline.Ring
 }
 
@@ -66,8 +63,7 @@
 	id     foxtailstack.AttemptID
 	open   *Open
 	run    *Run
-	// answer is kept of a non-idempotent attempt.
-	answer booking.Answer
+	booked booked
 }
 
 // serve admits and runs the attempt.
@@ -89,7 +85,8 @@
 		a.refuse(gateReason(err))
 		return
 	}
-	defer a.server.Gate.Leave()
+	a.booked.leave = sync.OnceFunc(a.server.Gate.Leave)
+	defer a.booked.leave()
 	if a.open.Reserve {
 		if !a.reserve() {
 			return
@@ -124,6 +121,7 @@
 	}
 	if a.run != nil {
 		call.Fencing = a.run.Number
+		call.Booking = a.run.Key.String()
 	}
 	answer, err := a.server.Engine.Run(ctx, call)
 	if err == nil {
@@ -133,7 +131,7 @@
 	switch {
 	case err == nil:
 		a.record(EventEnd, "")
-	case errors.Is(err, foxtailstack.ErrEngineRefused) && a.run == nil:
+	case errors.Is(err, foxtailstack.ErrEngineRefused):
 		a.refuse(ReasonDown)
 	case errors.Is(err, foxtailstack.ErrEngineMismatch):
 		a.record(EventMismatch, err.Error())
@@ -146,8 +144,8 @@
 // copy sends the answer of the engine on.
 func (a *attempt) copy(answer foxtailstack.EngineAnswer) error {
 	defer answer.Body.Close()
-	a.answer.Status = answer.Status
-	a.answer.ContentType = answer.ContentType
+	a.booked.answer.Status = answer.Status
+	a.booked.answer.ContentType = answer.ContentType
 	lost := a.send(Frame{Head: &Head{
 		Status:      answer.Status,
 		ContentType: answer.ContentType,
@@ -160,9 +158,7 @@
 		if n > 0 {
 			_, _ = sum.Write(buffer[:n]) // never fails
 			length += uint64(n)
-			if a.run != nil && len(a.answer.Body)+n <= maxAnswer {
-				a.answer.Body = append(a.answer.Body, buffer[:n]...)
-			}
+			a.keep(buffer[:n])
 			if lost == nil {
 				lost = a.send(Frame{Data: buffer[:n]})
 			}
@@ -180,13 +176,14 @@
 	if lost != nil && a.run == nil {
 		return lost
 	}
-	if lost == nil {
+	err := a.conclude()
+	if err == nil && lost == nil {
 		_ = a.send(Frame{End: &End{
 			Length: length,
 			Sum:    sum.Sum64(),
 		}})
 	}
-	return nil
+	return err
 }
 
 // send sends a frame of the attempt.
