--- a/wire/client.go
+++ b/wire/client.go
@@ -12,7 +12,9 @@
 
 // Client opens streams to peers over pooled connections, one a peer.
 type Client struct {
-	tls   *tls.Config
+	tls *tls.Config
+	// open is set in a local client.
+	open  Opener
 	mu    sync.Mutex
 	peers map[foxtailstack.Address]*peer
 }
@@ -36,6 +38,9 @@
 // Open opens a stream of a kind. It returns ErrUnreachable if there is no
 // connection to the peer and none can be made.
 func (c *Client) Open(ctx context.Context, address foxtailstack.Address, kind Kind) (*Stream, error) {
+	if c.open != nil {
+		return c.open(ctx, address, kind)
+	}
 	conn, err := c.connect(ctx, address)
 	if err != nil {
 		return nil, err
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -31,12 +31,12 @@
 // Stream is one exchange of messages with a peer. One goroutine may send while
 // another receives.
 type Stream struct {
-	quic   *quic.Stream
+	quic   transport
 	reader *bufio.Reader
 }
 
-// newStream wraps a QUIC stream.
-func newStream(s *quic.Stream) *Stream {
+// newStream wraps a QUIC stream or an end of a Pipe.
+func newStream(s transport) *Stream {
 	return &Stream{
 		quic:   s,
 		reader: bufio.NewReaderSize(s, streamBuffer),
