--- a/node/entry.go
+++ b/node/entry.go
@@ -53,7 +53,7 @@
 	e.callers = &entry.Server{
 		Replica:  e.replica,
 		Client:   e.client,
-		Recorder: booking.Recorder{Table: e.table},
+		Recorder: e.recorder(),
 		Ring:     e.ring,
 		Chooser:  e.chooser,
 		Limiter:  &team.Limiter{},
@@ -65,6 +65,8 @@
 		Replica: e.replica,
 	}
 	operators.Routes(e.handler)
+	bookings := &booking.API{Resolver: e.callers.Resolver()}
+	bookings.Routes(e.handler, nil)
 	return e, nil
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/booking"
 	"github.com/foxtailstack/foxtailstack/fleet"
 	"github.com/foxtailstack/foxtailstack/keys"
 	"github.com/foxtailstack/foxtailstack/platform"
@@ -39,6 +40,7 @@
 	log      *zap.Logger
 	ring     *timeline.Ring
 	table    foxtailstack.Table
+	objects  foxtailstack.ObjectStore
 	client   *wire.Client
 	mux      wire.Mux
 	peers    net.Addr
@@ -58,10 +60,24 @@
 			Access: cfg.Platform.Access,
 			Secret: cfg.Platform.Secret,
 		}, cfg.Platform.Name),
+		objects: platform.NewS3(platform.Endpoint{
+			URL:    cfg.Platform.Objects,
+			Region: cfg.Platform.Region,
+			Access: cfg.Platform.Access,
+			Secret: cfg.Platform.Secret,
+		}, cfg.Platform.Bucket),
 		client: wire.NewClient(config.Peer),
 	}
 }
 
+// recorder returns the recorder of bookings.
+func (b *base) recorder() booking.Recorder {
+	return booking.Recorder{
+		Table:   b.table,
+		Objects: b.objects,
+	}
+}
+
 // listenPeers binds the addresses for other processes and for the status.
 func (b *base) listenPeers(config keys.Config) error {
 	b.mux.Handle(timeline.StreamEvents, b.ring.ServeEvents)
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -24,6 +24,7 @@
 	replica *fleet.Replica
 	gate    *upstream.Gate
 	server  *upstream.Server
+	flusher *booking.Flusher
 }
 
 // NewSidecar binds the address of a sidecar.
@@ -39,12 +40,16 @@
 		Engine:      upstream.NewHTTPEngine(cfg.Upstream.Engine),
 		Gate:        s.gate,
 		Ledger:      &booking.Ledger{},
-		Recorder:    booking.Recorder{Table: s.table},
 		Ring:        s.ring,
 	}
 	s.gate.SetWeight(func(name foxtailstack.TeamName) float64 {
 		return s.replica.Snapshot().Teams[name].Weight
 	})
+	s.flusher = &booking.Flusher{
+		Recorder: s.recorder(),
+		Ledger:   s.server.Ledger,
+	}
+	s.server.Flusher = s.flusher
 	s.mux.Handle(upstream.StreamAttempt, s.server.ServeAttempt)
 	s.mux.Handle(upstream.StreamProbe, s.server.ServeProbe)
 	responder := booking.Responder{
@@ -101,6 +106,12 @@
 	case <-ctx.Done():
 		return ErrGrace
 	}
+	for _, key := range s.flusher.Wait(ctx) {
+		s.log.Error("booking has no record",
+			zap.String("team", string(key.Team)),
+			zap.Stringer("service", key.Service),
+			zap.String("key", key.Idempotency))
+	}
 	<-lingered
 	err := s.mux.Drain(ctx, upstream.StreamAttempt, booking.StreamInquiry)
 	if err != nil {
