Exit with 0 also if told to stop more than once

Cause: the race run ended an entry by "signal: terminated" in its planned stop. The default action of SIGTERM was restored before the process had left, so a second signal in that moment ended it. Ruled out: a request in progress that was cut; all answers of the run were whole. Conclusion: signals after the first have no effect.

--- a/command/root.go
+++ b/command/root.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -23,8 +24,7 @@
 
 // Main runs the command with its arguments and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx := stopped()
 	root := newRoot()
 	root.SetArgs(args)
 	root.SetOut(stdout)
@@ -40,6 +40,19 @@
 	return ExitFailure
 }
 
+// stopped returns a context that ends when the process is told to stop. Later
+// signals have no effect, so that a planned stop always exits in its own way.
+func stopped() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return ctx
+}
+
 // newRoot returns the command with all its subcommands.
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -11,6 +11,8 @@
 //	shutdown NAME                    end a process by SIGTERM; it must exit with 0
 //	stopping NAME                    send SIGTERM and wait until it drains
 //	sigkill NAME                     end a process by SIGKILL
+//	insist NAME                      send SIGTERM until a process ends; it must
+//	                                 exit with 0
 //	freeze NAME, thaw NAME           stop and continue a process
 //	apply FILE [ENTRY]               declare resources and wait until in force
 //	send [-to ENTRY] [-key KEY] [-stream] [-bg NAME] SERVICE JSON
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -209,6 +209,22 @@
 	}
 }
 
+// insist sends SIGTERM over and over until a process ends; it must exit with 0.
+func (s *system) insist(_ *testscript.TestScript, args []string) error {
+	for {
+		p, err := s.signal(args, syscall.SIGTERM)
+		if p == nil {
+			return err
+		}
+		select {
+		case err = <-p.exited:
+			p.exited <- err
+			return err
+		default:
+		}
+	}
+}
+
 // kill ends a process by SIGKILL.
 func (s *system) kill(_ *testscript.TestScript, args []string) error {
 	p, err := s.signal(args, syscall.SIGKILL)
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -23,6 +23,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"start":    withSystem((*system).start),
 			"shutdown": withSystem((*system).stop),
+			"insist":   withSystem((*system).insist),
 			"sigkill":  withSystem((*system).kill),
 			"freeze":   withSystem((*system).freeze),
 			"thaw":     withSystem((*system).thaw),
