--- a/tools/structlit/main.go
+++ b/tools/structlit/main.go
@@ -54,7 +54,17 @@
 	n := 0
 	ast.Inspect(file, func(node ast.Node) bool {
 		lit, ok := node.(*ast.CompositeLit)
-		if !ok || !crowded(fset, lit) {
+		if !ok {
+			return true
+		}
+		for _, unnamed := range positional(lit) {
+			n++
+			if !write {
+				fmt.Printf("%s: struct literal without field names\n", fset.Position(unnamed.Pos()))
+			}
+			nameFields(fset, unnamed, fieldNames(lit), breaks)
+		}
+		if !crowded(fset, lit) {
 			return true
 		}
 		n++
@@ -78,6 +88,56 @@
 	return n, rewrite(path, src, breaks)
 }
 
+// positional returns the elements of a slice or array of an unnamed struct type
+// whose fields have no names.
+func positional(lit *ast.CompositeLit) []*ast.CompositeLit {
+	if fieldNames(lit) == nil {
+		return nil
+	}
+	var found []*ast.CompositeLit
+	for _, elt := range lit.Elts {
+		inner, ok := elt.(*ast.CompositeLit)
+		if !ok || len(inner.Elts) == 0 {
+			continue
+		}
+		if _, ok := inner.Elts[0].(*ast.KeyValueExpr); !ok {
+			found = append(found, inner)
+		}
+	}
+	return found
+}
+
+// fieldNames returns the names of the fields if lit is a slice or array of an
+// unnamed struct type.
+func fieldNames(lit *ast.CompositeLit) []string {
+	array, ok := lit.Type.(*ast.ArrayType)
+	if !ok {
+		return nil
+	}
+	fields, ok := array.Elt.(*ast.StructType)
+	if !ok {
+		return nil
+	}
+	var names []string
+	for _, field := range fields.Fields.List {
+		for _, name := range field.Names {
+			names = append(names, name.Name)
+		}
+	}
+	return names
+}
+
+// nameFields adds the breaks that give the fields of a literal their names.
+func nameFields(fset *token.FileSet, lit *ast.CompositeLit, names []string, breaks map[int]string) {
+	for i, elt := range lit.Elts {
+		breaks[fset.Position(elt.Pos()).Offset] = "\n" + names[i] + ": "
+	}
+	end := fset.Position(lit.Rbrace).Offset
+	last := fset.Position(lit.Elts[len(lit.Elts)-1].End()).Offset
+	breaks[last] = ","
+	breaks[end] += "\n"
+}
+
 // crowded reports whether a keyed struct literal has two fields on one line.
 func crowded(fset *token.FileSet, lit *ast.CompositeLit) bool {
 	switch lit.Type.(type) {
