Measure the memory of connections without that of listeners

Before: 459 KB a pair at 200 peers, 100 KB of them a listener that each peer has once, and 128 KB the buffers of the meter.

--- a/measure/idle.go
+++ b/measure/idle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"runtime"
 	"syscall"
 	"time"
@@ -45,7 +46,8 @@
 	return nil
 }
 
-// idle connects a client to n peers and watches for a time.
+// idle connects a client n times to a peer, each time through a meter as if to
+// another peer, and watches for a time.
 func idle(ctx context.Context, n int, watch time.Duration) (Line, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -53,6 +55,10 @@
 	if err != nil {
 		return nil, err
 	}
+	addr, err := startPeer(ctx, config)
+	if err != nil {
+		return nil, err
+	}
 	before := heap()
 	client := wire.NewClient(config.Peer)
 	defer client.Close()
@@ -63,7 +69,7 @@
 		}
 	}()
 	for range n {
-		m, err := startPeer(ctx, config)
+		m, err := newMeter(addr)
 		if err != nil {
 			return nil, err
 		}
@@ -99,8 +105,8 @@
 	}, nil
 }
 
-// startPeer starts a peer that answers messages, behind a meter.
-func startPeer(ctx context.Context, config keys.Config) (*meter, error) {
+// startPeer starts a peer that answers messages and returns its address.
+func startPeer(ctx context.Context, config keys.Config) (net.Addr, error) {
 	mux := &wire.Mux{}
 	mux.Handle(idleKind, func(_ context.Context, s *wire.Stream) {
 		var message idleMessage
@@ -113,7 +119,7 @@
 		return nil, err
 	}
 	go func() { _ = mux.Serve(ctx) }()
-	return newMeter(addr)
+	return addr, nil
 }
 
 // testKeys returns TLS settings for processes on loopback.
--- a/measure/meter.go
+++ b/measure/meter.go
@@ -13,7 +13,7 @@
 	// headerBytes is the size of the headers of IP and UDP.
 	headerBytes = 28
 	// packetBuffer is the size of the largest packet that a meter carries.
-	packetBuffer = 64 << 10
+	packetBuffer = 2 << 10
 )
 
 // meter forwards the packets to and from one process and counts their bytes,
