Deliver whole answers only, and bound retries

The sidecar copied the body of an engine's answer without looking into it. It now reads server-sent events, and takes an event of another attempt, one out of order, one sent twice, one behind the last, or a model engine's stream without its last event for a failure. An answer whose end can't be seen is none. The entry refuses frames out of order. The last event of a stream goes into one frame with the end, since otherwise a stream that broke between the two would resume and end twice.

A refusal after an attempt whose outcome is unknown was answered as not run. The outcome of the request is now unknown if that of any attempt is.

Retries spend a budget of each team and service, wait with jitter, and resume a numbered stream behind the last event delivered.

A request that runs when an upstream crashes is remembered by its fingerprint: its like run one at a time, and after a second crash are refused. Entries tell each other. An answer too long for the record was recorded cut short; it is now left unrecorded.

--- a/engine.go
+++ b/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 )
@@ -13,6 +14,9 @@
 	ErrEngineRefused = errors.New("engine refused the call")
 	// ErrEngineFailed means that the engine broke off after it saw the call.
 	ErrEngineFailed = errors.New("engine failed")
+	// ErrEngineLost means that the connection to the engine broke. It wraps
+	// ErrEngineFailed.
+	ErrEngineLost = fmt.Errorf("connection lost: %w", ErrEngineFailed)
 	// ErrEngineMismatch means that the answer belongs to another attempt.
 	ErrEngineMismatch = errors.New("engine answered another attempt")
 	// ErrEngineFenced means that the engine has seen a higher fencing number.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -15,7 +15,8 @@
 // sink takes the answer of one attempt.
 type sink interface {
 	head(h upstream.Head) error
-	data(b []byte) error
+	// data takes a piece of the body, whose last event has the number last.
+	data(b []byte, last uint64) error
 }
 
 // attempt is one attempt of a request on one upstream.
@@ -23,9 +24,15 @@
 	id      foxtailstack.AttemptID
 	request *request
 	member  fleet.Member
-	stream  *wire.Stream
-	sum     *xxh3.Hasher
-	length  uint64
+	// resume is the number of the last event that the caller has.
+	resume uint64
+	// suspect tells that the request may have crashed an upstream before.
+	suspect bool
+
+	stream *wire.Stream
+	begun  bool
+	sum    xxh3.Hasher
+	length uint64
 }
 
 // run makes the attempt and hands the answer to out. Its error, if any, is an
@@ -34,10 +41,9 @@
 	deadline, _ := ctx.Deadline()
 	stream, err := s.Client.Open(ctx, a.member.Address, upstream.StreamAttempt)
 	if err != nil {
-		return notRun(upstream.ReasonDown, 0, err)
+		return unsent(upstream.ReasonDown, 0, err)
 	}
 	a.stream = stream
-	a.sum = xxh3.New()
 	stop := context.AfterFunc(ctx, stream.Cancel)
 	defer stop()
 	defer stream.Cancel()
@@ -51,20 +57,23 @@
 			Body:        a.request.body,
 			Priority:    a.request.priority,
 			Stream:      a.request.stream,
+			Resume:      a.resume,
 			Left:        time.Until(deadline),
 			Reserve:     !a.request.policy.Idempotent,
+			Model:       a.request.service.Model != "",
+			Suspect:     a.suspect,
 		},
 	})
 	if err != nil {
-		return a.lost(err)
+		return a.ended(ctx, a.lost(err))
 	}
 	if !a.request.policy.Idempotent {
 		err = a.claim(ctx, s)
 		if err != nil {
-			return err
+			return a.ended(ctx, err)
 		}
 	}
-	return a.receive(out)
+	return a.ended(ctx, a.receive(out))
 }
 
 // receive hands the answer to out until its last frame.
@@ -74,27 +83,40 @@
 		if err != nil {
 			return err
 		}
-		switch {
-		case frame.Head != nil:
-			err = out.head(*frame.Head)
-		case frame.Data != nil:
-			_, _ = a.sum.Write(frame.Data) // never fails
-			a.length += uint64(len(frame.Data))
-			err = out.data(frame.Data)
-		case frame.End != nil:
-			if frame.End.Length != a.length || frame.End.Sum != a.sum.Sum64() {
-				return unknown(upstream.ReasonMismatch, ErrCorrupt)
-			}
-			return nil
-		default:
-			err = ErrBroken
-		}
-		if err != nil {
-			return unknown(upstream.ReasonFailed, err)
+		whole, err := a.take(frame, out)
+		if err != nil || whole {
+			return err
 		}
 	}
 }
 
+// take takes one frame of the answer and reports whether it was the last one.
+func (a *attempt) take(frame upstream.Frame, out sink) (bool, error) {
+	if (frame.Head != nil) == a.begun || frame.Open != nil || frame.Reserved != nil || frame.Run != nil {
+		return false, unknown(upstream.ReasonMismatch, ErrSequence)
+	}
+	a.begun = true
+	var err error
+	if frame.Head != nil {
+		err = out.head(*frame.Head)
+	}
+	if err == nil && len(frame.Data) > 0 {
+		_, _ = a.sum.Write(frame.Data) // never fails
+		a.length += uint64(len(frame.Data))
+		err = out.data(frame.Data, frame.Last)
+	}
+	if err != nil {
+		return false, unknown(upstream.ReasonFailed, err)
+	}
+	if frame.End == nil {
+		return false, nil
+	}
+	if frame.End.Length != a.length || frame.End.Sum != a.sum.Sum64() {
+		return false, unknown(upstream.ReasonMismatch, ErrCorrupt)
+	}
+	return true, nil
+}
+
 // next returns the next frame of the attempt, or the error that ends it.
 func (a *attempt) next() (upstream.Frame, error) {
 	var frame upstream.Frame
@@ -105,8 +127,11 @@
 	if frame.Attempt != a.id {
 		return frame, unknown(upstream.ReasonMismatch, fmt.Errorf("%w: frame of attempt %s", ErrCorrupt, frame.Attempt))
 	}
+	if frame.Refusal != nil && a.begun {
+		return frame, unknown(upstream.ReasonMismatch, fmt.Errorf("%w: refusal after the answer began", ErrSequence))
+	}
 	if frame.Refusal != nil {
-		return frame, notRun(frame.Refusal.Reason, frame.Refusal.Retry, nil)
+		return frame, refusedBy(frame.Refusal)
 	}
 	if frame.Failure != nil {
 		return frame, unknown(frame.Failure.Reason, nil)
@@ -115,6 +140,16 @@
 }
 
 // lost is the error of an attempt whose stream broke.
-func (a *attempt) lost(err error) error {
-	return unknown(upstream.ReasonFailed, fmt.Errorf("%w: %w", ErrBroken, err))
+func (a *attempt) lost(err error) *AttemptError {
+	return unknown(upstream.ReasonLost, fmt.Errorf("%w: %w", ErrBroken, err))
+}
+
+// ended returns the error of an attempt, which is the end of ctx if that broke
+// the stream.
+func (a *attempt) ended(ctx context.Context, err error) error {
+	failed, ok := err.(*AttemptError)
+	if ok && failed.Reason == upstream.ReasonLost && ctx.Err() != nil {
+		return unknown(upstream.ReasonExpired, context.Cause(ctx))
+	}
+	return err
 }
--- a/entry/choose.go
+++ b/entry/choose.go
@@ -7,6 +7,7 @@
 
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/fleet"
+	"github.com/foxtailstack/foxtailstack/upstream"
 )
 
 // bytesPerToken estimates the length of a token of a prompt in bytes.
@@ -26,6 +27,9 @@
 	Outcome foxtailstack.Outcome
 	// Refused is set if the sidecar itself refused the attempt.
 	Refused bool
+	// Crashed is set if the upstream crashed while it ran the attempt. The
+	// request may be the cause, so that this is no sign of a bad upstream.
+	Crashed bool
 	// Latency is the time of the whole attempt.
 	Latency time.Duration
 }
@@ -54,7 +58,8 @@
 	var failed *AttemptError
 	if errors.As(err, &failed) {
 		result.Outcome = failed.Outcome
-		result.Refused = failed.Outcome == foxtailstack.NotRun && failed.Err == nil
+		result.Refused = failed.Cause == CauseRefused
+		result.Crashed = failed.Reason == upstream.ReasonCrashed
 	}
 	return result
 }
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -17,13 +17,39 @@
 	ErrBroken = errors.New("answer was cut short")
 	// ErrCorrupt means that an answer differs from what the sidecar sent.
 	ErrCorrupt = errors.New("answer does not match its length and sum")
+	// ErrSequence means that the frames of an answer are out of order.
+	ErrSequence = errors.New("frame out of order")
+	// ErrAnswerTooLong means that an answer that is not streamed is too long.
+	ErrAnswerTooLong = errors.New("answer too long")
+	// ErrCallerGone means that the caller takes no more of the answer.
+	ErrCallerGone = errors.New("caller is gone")
+	// ErrQuarantined means that the request has crashed upstreams.
+	ErrQuarantined = errors.New("request is quarantined after crashes of upstreams")
+)
+
+// Cause is why an attempt is known not to have run.
+type Cause uint8
+
+// The causes, of which each proves that the engine has not seen the attempt and
+// never will. Nothing else proves it: a stream that breaks once the attempt was
+// opened leaves its outcome unknown.
+const (
+	// CauseUnsent means that the entry sent the attempt to no sidecar.
+	CauseUnsent Cause = iota + 1
+	// CauseRefused means that the sidecar refused before the engine saw it.
+	CauseRefused
+	// CauseWithheld means that the entry withheld what lets a reserved attempt
+	// start.
+	CauseWithheld
 )
 
 // AttemptError is an attempt that gave no answer.
 type AttemptError struct {
 	// Outcome is NotRun or Unknown.
 	Outcome foxtailstack.Outcome
-	Reason  upstream.Reason
+	// Cause is set if the outcome is NotRun.
+	Cause  Cause
+	Reason upstream.Reason
 	// Retry is when the upstream may take the request; zero if it did not say.
 	Retry time.Duration
 	Err   error
@@ -42,10 +68,31 @@
 	return e.Err
 }
 
-// notRun is the one place that says a request has not run.
+// crashed reports whether the attempt may have crashed its upstream.
+func (e *AttemptError) crashed() bool {
+	return e.Reason == upstream.ReasonCrashed || e.Reason == upstream.ReasonLost
+}
+
+// notRun says that a reserved attempt was not let start.
 func notRun(reason upstream.Reason, retry time.Duration, err error) *AttemptError {
+	return didNotRun(CauseWithheld, reason, retry, err)
+}
+
+// unsent says that an attempt was sent to no sidecar.
+func unsent(reason upstream.Reason, retry time.Duration, err error) *AttemptError {
+	return didNotRun(CauseUnsent, reason, retry, err)
+}
+
+// refusedBy says that a sidecar refused an attempt.
+func refusedBy(refusal *upstream.Refusal) *AttemptError {
+	return didNotRun(CauseRefused, refusal.Reason, refusal.Retry, nil)
+}
+
+// didNotRun is the one place that says that an attempt has not run.
+func didNotRun(cause Cause, reason upstream.Reason, retry time.Duration, err error) *AttemptError {
 	return &AttemptError{
 		Outcome: foxtailstack.NotRun,
+		Cause:   cause,
 		Reason:  reason,
 		Retry:   retry,
 		Err:     err,
--- a/entry/response.go
+++ b/entry/response.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
@@ -60,19 +63,30 @@
 	_ = json.NewEncoder(w).Encode(p) // the caller may be gone
 }
 
+// maxAnswer is the length of the longest answer that is not streamed in bytes.
+const maxAnswer = 16 << 20
+
 // response collects a whole answer, or passes a streamed one on.
 type response struct {
 	w      http.ResponseWriter
 	stream bool
 	// begun is set once the caller has received part of the answer.
-	begun  bool
-	status int
-	kind   string
-	body   []byte
+	begun bool
+	// last is the number of the last event that the caller has received.
+	last uint64
+	// unnumbered is set once the caller has received an event without a number.
+	unnumbered bool
+	status     int
+	kind       string
+	body       []byte
 }
 
-// head takes the head of an answer.
+// head takes the head of an answer. One that goes on after a part was delivered
+// must be like the one before.
 func (r *response) head(h upstream.Head) error {
+	if r.begun && (h.Status != r.status || h.ContentType != r.kind) {
+		return fmt.Errorf("%w: the answer that resumes is of another kind", ErrSequence)
+	}
 	r.status = h.Status
 	r.kind = h.ContentType
 	r.body = r.body[:0]
@@ -80,8 +94,11 @@
 }
 
 // data takes a piece of the body.
-func (r *response) data(b []byte) error {
-	if !r.stream {
+func (r *response) data(b []byte, last uint64) error {
+	if !r.stream || !strings.HasPrefix(r.kind, typeEvents) {
+		if len(r.body)+len(b) > maxAnswer {
+			return ErrAnswerTooLong
+		}
 		r.body = append(r.body, b...)
 		return nil
 	}
@@ -92,10 +109,20 @@
 		r.w.WriteHeader(r.status)
 	}
 	_, err := r.w.Write(b)
+	if err == nil {
+		err = http.NewResponseController(r.w).Flush()
+	}
 	if err != nil {
-		return err
+		return fmt.Errorf("%w: %w", ErrCallerGone, err)
 	}
-	return http.NewResponseController(r.w).Flush()
+	r.unnumbered = r.unnumbered || last == 0
+	r.last = last
+	return nil
+}
+
+// resumable reports whether another attempt can go on where this one broke off.
+func (r *response) resumable() bool {
+	return !r.unnumbered
 }
 
 // whole takes a recorded answer.
@@ -107,7 +134,7 @@
 	if err != nil {
 		return err
 	}
-	return r.data(answer.Body)
+	return r.data(answer.Body, 0)
 }
 
 // finish ends the answer: err is the error of the last attempt.
@@ -142,8 +169,11 @@
 		p.outcome = failed.Outcome
 		p.retry = max(p.retry, failed.Retry)
 	}
-	if p.outcome == foxtailstack.NotRun {
+	switch {
+	case p.outcome == foxtailstack.NotRun:
 		p.Status = http.StatusServiceUnavailable
+	case errors.Is(err, context.DeadlineExceeded):
+		p.Status = http.StatusGatewayTimeout
 	}
 	p.Title = http.StatusText(p.Status)
 	return p
--- a/entry/server.go
+++ b/entry/server.go
@@ -25,6 +25,9 @@
 	HeaderIdempotency = "Idempotency-Key"
 )
 
+// typeEvents is the media type of server-sent events.
+const typeEvents = "text/event-stream"
+
 // maxBody is the length of the longest request body in bytes. It fits into one
 // message to a sidecar.
 const maxBody = 768 << 10
@@ -43,8 +46,13 @@
 	Ring     *timeline.Ring
 	Chooser  Chooser
 	Limiter  Limiter
+	// Peers returns the addresses of the other entries. It may be nil.
+	Peers func() []foxtailstack.Address
 
-	door door
+	door       door
+	budgets    budgets
+	quarantine quarantine
+	teller     teller
 }
 
 // Routes adds the routes of the caller API to mux.
@@ -113,7 +121,7 @@
 		policy:      policy,
 		idempotency: r.Header.Get(HeaderIdempotency),
 		contentType: r.Header.Get("Content-Type"),
-		stream:      strings.Contains(r.Header.Get("Accept"), "text/event-stream"),
+		stream:      strings.Contains(r.Header.Get("Accept"), typeEvents),
 	}
 	if !policy.Idempotent && req.idempotency == "" {
 		return nil, refuse(http.StatusBadRequest, "the service needs a header "+HeaderIdempotency)
@@ -136,53 +144,3 @@
 	req.body = body
 	return req, nil
 }
-
-// dispatch makes attempts until one answers or no more are allowed.
-func (s *Server) dispatch(ctx context.Context, req *request, out *response) error {
-	if !req.policy.Idempotent {
-		done, version, err := s.repeat(ctx, req, out)
-		if done || err != nil {
-			return err
-		}
-		req.replaces = version
-	}
-	var last error = notRun("", 0, ErrNoUpstream)
-	var tried []foxtailstack.UpstreamName
-	for range req.attempts() {
-		member, ok := s.Chooser.Choose(ctx, Query{
-			Service: req.id,
-			Prompt:  req.body,
-			Tried:   tried,
-		})
-		if !ok {
-			break
-		}
-		tried = append(tried, member.ID.Upstream)
-		a := &attempt{
-			id:      foxtailstack.NewAttemptID(),
-			request: req,
-			member:  member,
-		}
-		s.Ring.Record(timeline.Event{
-			Kind:     EventAttempt,
-			Attempt:  a.id.String(),
-			Upstream: member.ID.String(),
-		})
-		began := time.Now()
-		last = a.run(ctx, s, out)
-		s.Chooser.Report(member, resultOf(last, time.Since(began)))
-		if last == nil || !retryable(req, last, out) || ctx.Err() != nil {
-			break
-		}
-	}
-	return last
-}
-
-// retryable reports whether another attempt may follow err.
-func retryable(req *request, err error, out *response) bool {
-	var failed *AttemptError
-	if !errors.As(err, &failed) || out.begun || errors.Is(err, booking.ErrClaimed) {
-		return false
-	}
-	return failed.Outcome == foxtailstack.NotRun || req.policy.Idempotent
-}
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -67,6 +67,7 @@
 	}
 	go poller.Run(background)
 	go s.follow(background)
+	go s.server.Watch(background)
 	go s.awaitConfig(background, s.replica)
 	served := make(chan error, 1)
 	go func() { served <- s.mux.Serve(background) }()
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -193,7 +193,7 @@
 // stop ends a process by SIGTERM and checks that it exits with 0.
 func (s *system) stop(_ *testscript.TestScript, args []string) error {
 	p, err := s.signal(args, syscall.SIGTERM)
-	if err != nil {
+	if err != nil && !errors.Is(err, os.ErrProcessDone) { // a signal before may have ended it
 		return err
 	}
 	select {
--- a/upstream/drain.go
+++ b/upstream/drain.go
@@ -1,12 +1,6 @@
 package upstream
 
-import (
-	"sync/atomic"
-	"time"
-)
-
-// drainRetry is when a caller refused by a leaving upstream may come back.
-const drainRetry = time.Second
+import "sync/atomic"
 
 // door tells whether the configuration lets new work in. The zero value does.
 type door struct {
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -81,6 +81,10 @@
 		_ = response.Body.Close()
 		return foxtailstack.EngineAnswer{}, fmt.Errorf("%w: got %q, expected %q", foxtailstack.ErrEngineMismatch, got, id)
 	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.ProtoMajor == 1 {
+		_ = response.Body.Close()
+		return foxtailstack.EngineAnswer{}, fmt.Errorf("%w: answer without an end", foxtailstack.ErrEngineFailed)
+	}
 	return foxtailstack.EngineAnswer{
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
@@ -147,8 +151,11 @@
 // failure to connect proves that the engine has seen nothing.
 func engineError(err error) error {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
 		return fmt.Errorf("%w: %w", foxtailstack.ErrEngineRefused, err)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &op):
+		return fmt.Errorf("%w: %w", foxtailstack.ErrEngineLost, err)
 	}
 	return fmt.Errorf("%w: %w", foxtailstack.ErrEngineFailed, err)
 }
--- /dev/null
+++ b/upstream/event_test.go
@@ -0,0 +1,73 @@
+package upstream
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestEventReader(t *testing.T) {
+	tests := []struct {
+		name string
+		in   string
+		want []string
+		err  error
+	}{
+		{"events", "id: 1\ndata: a\n\ndata: [DONE]\n\n", []string{"1 a", "0 [DONE]"}, io.EOF},
+		{"carriage returns", "id: 7\r\ndata: a\r\ndata: b\r\n\r\n", []string{"7 a\nb"}, io.EOF},
+		{"no space, blank lines, comment", "\n\n:ping\ndata:a\n\n", []string{"0 a"}, io.EOF},
+		{"text id", "id: x9\ndata: a\n\n", []string{"0 a"}, io.EOF},
+		{"cut in a line", "data: a\n\ndata: b", []string{"0 a"}, ErrEventCut},
+		{"cut before the blank line", "data: a\n\ndata: b\n", []string{"0 a"}, ErrEventCut},
+		{"too long", "data: " + strings.Repeat("a", maxEvent) + "\n\n", nil, ErrEventTooLong},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got, _, err := readEvents(iotest.OneByteReader(strings.NewReader(test.in)))
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("events (-want +got):\n%s", diff)
+			}
+			if !errors.Is(err, test.err) {
+				t.Errorf("got error %v, expected %v", err, test.err)
+			}
+		})
+	}
+}
+
+// readEvents returns all events as text, their raw bytes and the last error.
+func readEvents(in io.Reader) (texts []string, raw []byte, err error) {
+	r := NewEventReader(in)
+	for {
+		event, err := r.Next()
+		if err != nil {
+			return texts, raw, err
+		}
+		texts = append(texts, string(rune('0'+event.ID%10))+" "+string(event.Data))
+		raw = append(raw, event.Raw...)
+	}
+}
+
+// What the reader returns is the same however the stream is cut into reads, and
+// nothing but blank lines between events is lost.
+func FuzzEventReader(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\ndata: [DONE]\n\n"))
+	f.Add([]byte("\r\n\r\ndata\n:\n\nid:"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		whole, raw, err := readEvents(bytes.NewReader(in))
+		parts, _, partsErr := readEvents(iotest.OneByteReader(bytes.NewReader(in)))
+		if diff := cmp.Diff(whole, parts); diff != "" {
+			t.Errorf("events in one read and by bytes (-one +bytes):\n%s", diff)
+		}
+		if (err == nil) != (partsErr == nil) {
+			t.Errorf("got errors %v and %v", err, partsErr)
+		}
+		if errors.Is(err, io.EOF) && len(raw) > len(in) {
+			t.Errorf("%d bytes of events in %d bytes", len(raw), len(in))
+		}
+	})
+}
--- a/upstream/frame.go
+++ b/upstream/frame.go
@@ -12,7 +12,8 @@
 // StreamAttempt is the kind of the streams that carry attempts.
 const StreamAttempt wire.Kind = "attempt"
 
-// Frame is one message of an attempt. Exactly one of its parts is set.
+// Frame is one message of an attempt. One of its parts is set, but that Head,
+// Data and End may come together, in this order.
 type Frame struct {
 	Attempt  foxtailstack.AttemptID `cbor:"1,keyasint"`
 	Open     *Open                  `cbor:"2,keyasint,omitempty"`
@@ -23,6 +24,8 @@
 	End      *End                   `cbor:"7,keyasint,omitempty"`
 	Refusal  *Refusal               `cbor:"8,keyasint,omitempty"`
 	Failure  *Failure               `cbor:"9,keyasint,omitempty"`
+	// Last is the number of the last event in Data; zero if events have none.
+	Last uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Open asks the sidecar to admit an attempt.
@@ -39,6 +42,11 @@
 	Left time.Duration `cbor:"9,keyasint"`
 	// Reserve holds the attempt until Run; set for non-idempotent attempts.
 	Reserve bool `cbor:"10,keyasint,omitempty"`
+	// Model tells that the engine is a model engine, whose streams end with an
+	// event of their own.
+	Model bool `cbor:"11,keyasint,omitempty"`
+	// Suspect tells that the request may have crashed an upstream before.
+	Suspect bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Reserved says that the attempt runs once it is told to.
@@ -99,6 +107,9 @@
 	ReasonDown     Reason = "engine-down"
 	ReasonFailed   Reason = "engine-failed"
 	ReasonMismatch Reason = "engine-mismatch"
+	ReasonCrashed  Reason = "engine-crashed"
+	ReasonLost     Reason = "connection-lost"
+	ReasonSuspect  Reason = "quarantined"
 )
 
 // Refusal ends an attempt that the engine has not seen and never will.
--- /dev/null
+++ b/upstream/frame_test.go
@@ -0,0 +1,49 @@
+package upstream
+
+import (
+	"testing"
+
+	"github.com/foxtailstack/foxtailstack/wire"
+	"github.com/google/go-cmp/cmp"
+)
+
+// A frame that decodes encodes to one that decodes to the same.
+func FuzzFrame(f *testing.F) {
+	seeds := []Frame{
+		{Open: &Open{Body: []byte("body")}},
+		{
+			Data: []byte("data"),
+			Last: 7,
+		},
+		{End: &End{Length: 4}},
+		{Refusal: &Refusal{Reason: ReasonFull}},
+	}
+	for _, seed := range seeds {
+		data, err := wire.Marshal(seed)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var frame, again Frame
+		if wire.Unmarshal(data, &frame) != nil {
+			return
+		}
+		encoded, err := wire.Marshal(frame)
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = wire.Unmarshal(encoded, &again)
+		if err != nil {
+			t.Fatal(err)
+		}
+		second, err := wire.Marshal(again)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(encoded, second); diff != "" {
+			t.Errorf("encodings (-first +second):\n%s", diff)
+		}
+	})
+}
--- a/upstream/server.go
+++ b/upstream/server.go
@@ -2,21 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/booking"
 	"github.com/foxtailstack/foxtailstack/timeline"
 	"github.com/foxtailstack/foxtailstack/wire"
-	"github.com/zeebo/xxh3"
-)
-
-const (
-	// chunkSize is the size of the largest piece of an answer in bytes.
-	chunkSize = 16 << 10
-	// maxAnswer is the length of the longest recorded answer in bytes.
-	maxAnswer = 256 << 10
 )
 
 // Events of the sidecar.
@@ -27,6 +17,8 @@
 	EventFail     timeline.Kind = "attempt-fail"
 	EventMismatch timeline.Kind = "engine-mismatch"
 	EventDrain    timeline.Kind = "upstream-drain"
+	EventDown     timeline.Kind = "engine-down"
+	EventUp       timeline.Kind = "engine-up"
 )
 
 // Server serves the attempts on one upstream.
@@ -40,7 +32,9 @@
 	Recorder    booking.Recorder
 	Ring        *timeline.Ring
 
-	door door
+	door   door
+	health health
+	lane   lane
 }
 
 // ServeAttempt is the handler of StreamAttempt.
@@ -62,165 +56,6 @@
 	a.serve(ctx, cancel)
 }
 
-// attempt is one attempt on the upstream.
-type attempt struct {
-	server *Server
-	stream *wire.Stream
-	id     foxtailstack.AttemptID
-	open   *Open
-	run    *Run
-	// answer is kept of a non-idempotent attempt.
-	answer booking.Answer
-}
-
-// serve admits and runs the attempt.
-func (a *attempt) serve(ctx context.Context, cancel context.CancelFunc) {
-	if a.open.Upstream != a.server.Upstream {
-		a.refuse(ReasonUpstream)
-		return
-	}
-	if a.open.Left <= 0 {
-		a.refuse(ReasonExpired)
-		return
-	}
-	if a.server.door.closed.Load() {
-		a.refuse(ReasonDraining)
-		return
-	}
-	err := a.server.Gate.Enter(ctx, Ticket{
-		Team:     a.open.Team,
-		Priority: a.open.Priority,
-		Left:     a.open.Left,
-	})
-	if err != nil {
-		a.refuse(gateReason(err))
-		return
-	}
-	defer a.server.Gate.Leave()
-	if a.open.Reserve {
-		if !a.reserve() {
-			return
-		}
-		// A non-idempotent attempt that has started is finished in any case.
-		ctx = context.WithoutCancel(ctx)
-	} else {
-		a.stream.Watch(cancel) // the entry sends nothing more
-	}
-	a.execute(ctx)
-}
-
-// execute runs the attempt on the engine and sends the answer.
-func (a *attempt) execute(ctx context.Context) {
-	a.record(EventRun, "")
-	call := foxtailstack.EngineCall{
-		Attempt:     a.id,
-		Team:        a.open.Team,
-		Path:        a.open.Path,
-		ContentType: a.open.ContentType,
-		Body:        a.open.Body,
-		Priority:    a.open.Priority,
-		Stream:      a.open.Stream,
-		Resume:      a.open.Resume,
-	}
-	if a.run != nil {
-		call.Fencing = a.run.Number
-	}
-	answer, err := a.server.Engine.Run(ctx, call)
-	if err == nil {
-		err = a.copy(answer)
-	}
-	a.finish(err)
-	switch {
-	case err == nil:
-		a.record(EventEnd, "")
-	case errors.Is(err, foxtailstack.ErrEngineRefused) && a.run == nil:
-		a.refuse(ReasonDown)
-	case errors.Is(err, foxtailstack.ErrEngineMismatch):
-		a.record(EventMismatch, err.Error())
-		a.fail(ReasonMismatch)
-	default:
-		a.fail(ReasonFailed)
-	}
-}
-
-// copy sends the answer of the engine on.
-func (a *attempt) copy(answer foxtailstack.EngineAnswer) error {
-	defer answer.Body.Close()
-	a.answer.Status = answer.Status
-	a.answer.ContentType = answer.ContentType
-	lost := a.send(Frame{Head: &Head{
-		Status:      answer.Status,
-		ContentType: answer.ContentType,
-	}})
-	sum := xxh3.New()
-	length := uint64(0)
-	buffer := make([]byte, chunkSize)
-	for {
-		n, err := answer.Body.Read(buffer)
-		if n > 0 {
-			_, _ = sum.Write(buffer[:n]) // never fails
-			length += uint64(n)
-			if a.run != nil && len(a.answer.Body)+n <= maxAnswer {
-				a.answer.Body = append(a.answer.Body, buffer[:n]...)
-			}
-			if lost == nil {
-				lost = a.send(Frame{Data: buffer[:n]})
-			}
-			if lost != nil && a.run == nil {
-				return lost
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			return engineError(err)
-		}
-	}
-	if lost != nil && a.run == nil {
-		return lost
-	}
-	if lost == nil {
-		_ = a.send(Frame{End: &End{
-			Length: length,
-			Sum:    sum.Sum64(),
-		}})
-	}
-	return nil
-}
-
-// send sends a frame of the attempt.
-func (a *attempt) send(frame Frame) error {
-	frame.Attempt = a.id
-	return a.stream.Send(frame)
-}
-
-// refuse ends an attempt that the engine has not seen.
-func (a *attempt) refuse(reason Reason) {
-	a.record(EventRefuse, string(reason))
-	refusal := &Refusal{Reason: reason}
-	if reason == ReasonDraining {
-		refusal.Retry = drainRetry
-	}
-	_ = a.send(Frame{Refusal: refusal})
-}
-
-// fail ends an attempt that the engine may have run.
-func (a *attempt) fail(reason Reason) {
-	a.record(EventFail, string(reason))
-	_ = a.send(Frame{Failure: &Failure{Reason: reason}})
-}
-
-// record records an event of the attempt.
-func (a *attempt) record(kind timeline.Kind, text string) {
-	a.server.Ring.Record(timeline.Event{
-		Kind:     kind,
-		Attempt:  a.id.String(),
-		Upstream: a.server.Upstream,
-		Text:     text,
-	})
-}
-
 // record records an event of the upstream.
 func (s *Server) record(kind timeline.Kind, text string) {
 	s.Ring.Record(timeline.Event{
@@ -229,11 +64,3 @@
 		Text:     text,
 	})
 }
-
-// gateReason returns the reason that stands for an error of the gate.
-func gateReason(err error) Reason {
-	if errors.Is(err, ErrDraining) {
-		return ReasonDraining
-	}
-	return ReasonFull
-}
