Test whole answers against engines that spoil them

Three thousand callers check their own answers while a third of the calls is late, crossed, mixed, doubled, cut, short or without an end.

Eight refusals took about two seconds of backoff; after refusals alone the mean is now at most 50 ms, since the upstreams have done no work.

--- /dev/null
+++ b/entry/bound_test.go
@@ -0,0 +1,151 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestBudgets(t *testing.T) {
+	tests := []struct {
+		name      string
+		successes int
+		share     float64
+		wait      time.Duration
+		want      int
+	}{
+		{"floor", 0, 0, 0, budgetFloor},
+		{"default share", 100, 0, 0, budgetFloor + 10},
+		{"share of the policy", 100, 0.5, 0, budgetFloor + 50},
+		{"past window", 100, 0, budgetWindow, budgetFloor + 10},
+		{"forgotten", 100, 0, 2 * budgetWindow, budgetFloor},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var b budgets
+				for range test.successes {
+					b.success(budgetKey{})
+				}
+				time.Sleep(test.wait)
+				got := 0
+				for b.take(budgetKey{}, test.share) {
+					got++
+				}
+				if diff := cmp.Diff(test.want, got); diff != "" {
+					t.Errorf("retries (-want +got):\n%s", diff)
+				}
+				if !b.take(budgetKey{team: "other"}, 0) {
+					t.Error("another team has no budget")
+				}
+			})
+		})
+	}
+}
+
+func TestQuarantine(t *testing.T) {
+	crash := func(n byte) Crash {
+		return Crash{
+			Attempt:  foxtailstack.AttemptID{n},
+			Upstream: foxtailstack.UpstreamName(rune('a' + n)),
+		}
+	}
+	tests := []struct {
+		name    string
+		crashes []Crash
+		clear   bool
+		wait    time.Duration
+		suspect bool
+		refused bool
+	}{
+		{name: "clear"},
+		{
+			name:    "one crash",
+			crashes: []Crash{crash(1)},
+			suspect: true,
+		},
+		{
+			name:    "one crash, told twice",
+			crashes: []Crash{crash(1), crash(1)},
+			suspect: true,
+		},
+		{
+			name:    "one crash, then an answer",
+			crashes: []Crash{crash(1)},
+			clear:   true,
+		},
+		{
+			name:    "two crashes",
+			crashes: []Crash{crash(1), crash(2)},
+			refused: true,
+		},
+		{
+			name:    "two crashes, then an answer",
+			crashes: []Crash{crash(1), crash(2)},
+			clear:   true,
+			refused: true,
+		},
+		{
+			name:    "before the end",
+			crashes: []Crash{crash(1), crash(2)},
+			wait:    quarantineTime - 1,
+			refused: true,
+		},
+		{
+			name:    "forgotten",
+			crashes: []Crash{crash(1), crash(2)},
+			wait:    quarantineTime,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var q quarantine
+				for _, c := range test.crashes {
+					q.crash(c)
+				}
+				if test.clear {
+					q.clear(Fingerprint{})
+				}
+				time.Sleep(test.wait)
+				p, err := q.admit(t.Context(), Fingerprint{})
+				if diff := cmp.Diff(test.refused, errors.Is(err, ErrQuarantined)); diff != "" {
+					t.Errorf("refused (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff(test.suspect, p.suspect); diff != "" {
+					t.Errorf("suspect (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
+// Equal requests run one at a time once one of them was running at a crash, and
+// a request without its turn is refused long before its deadline.
+func TestSuspectsTakeTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var q quarantine
+		q.crash(Crash{})
+		first, err := q.admit(t.Context(), Fingerprint{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		_, err = q.admit(ctx, Fingerprint{})
+		if err == nil || time.Since(began) != maxTurn {
+			t.Errorf("got error %v after %s, expected one after %s", err, time.Since(began), maxTurn)
+		}
+		time.AfterFunc(time.Second, first.leave)
+		second, err := q.admit(ctx, Fingerprint{})
+		if err != nil || !second.suspect {
+			t.Errorf("got suspect %t and error %v, expected a turn", second.suspect, err)
+		}
+	})
+}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -20,9 +20,11 @@
 	maxRefusals = 8
 	// freeRefusals is how many of them are followed by the next try at once.
 	freeRefusals = 2
-	// minBackoff and maxBackoff bound the mean time before another attempt.
-	minBackoff = 10 * time.Millisecond
-	maxBackoff = 500 * time.Millisecond
+	// minBackoff and maxBackoff bound the mean time before another attempt, and
+	// refusedBackoff that after refusals only.
+	minBackoff     = 10 * time.Millisecond
+	maxBackoff     = 500 * time.Millisecond
+	refusedBackoff = 50 * time.Millisecond
 	// maxBackoffSteps keeps the doubling within bounds.
 	maxBackoffSteps = 6
 )
@@ -190,7 +192,11 @@
 	if p.failures == 0 && n <= freeRefusals {
 		return 0
 	}
-	mean := min(minBackoff<<min(n, maxBackoffSteps), maxBackoff)
+	longest := maxBackoff
+	if p.failures == 0 {
+		longest = refusedBackoff
+	}
+	mean := min(minBackoff<<min(n, maxBackoffSteps), longest)
 	return rand.N(2 * mean)
 }
 
--- /dev/null
+++ b/entry/whole_test.go
@@ -0,0 +1,210 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/fleet"
+	"github.com/foxtailstack/foxtailstack/platform/standin"
+	"github.com/foxtailstack/foxtailstack/upstream"
+	"github.com/foxtailstack/foxtailstack/wire"
+	"github.com/google/go-cmp/cmp"
+	"github.com/zeebo/xxh3"
+)
+
+// Thousands of callers send requests to engines of which a third of the calls
+// misbehave, and some leave early. Whoever gets an answer that looks whole gets
+// the whole answer to its own request.
+func TestCallersReceiveOwnAnswers(t *testing.T) {
+	const callers, workers = 3000, 100
+	s := newSystem(t, fleet.Policy{
+		Idempotent: true,
+		Attempts:   5,
+		Budget:     1,
+	}, workers, workers, workers, workers)
+	for _, engine := range s.engines {
+		engine.Set(standin.EngineFaults{
+			Share:   0.3,
+			Delay:   5 * time.Millisecond,
+			Crossed: true,
+			Mixed:   true,
+			Twice:   true,
+			Cut:     3,
+			Undone:  true,
+			Short:   true,
+		})
+	}
+	var whole, failed atomic.Int64
+	var wg sync.WaitGroup
+	turns := make(chan struct{}, workers)
+	for i := range callers {
+		turns <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-turns }()
+			prompt := standin.Prompt{
+				Text:   fmt.Sprintf("caller %d", i),
+				Tokens: rand.IntN(10),
+			}
+			stream := i%2 == 0
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if i%10 == 0 {
+				time.AfterFunc(rand.N(5*time.Millisecond), cancel)
+			}
+			got := s.send(ctx, prompt, stream)
+			if got.err != nil || got.status != 200 {
+				failed.Add(1)
+				return
+			}
+			whole.Add(1)
+			if diff := cmp.Diff(textsFor(prompt, stream), got.texts); diff != "" || got.outcome != "ran" {
+				t.Errorf("caller %d: outcome %q, answer (-want +got):\n%s", i, got.outcome, diff)
+			}
+		})
+	}
+	wg.Wait()
+	t.Logf("%d whole answers, %d failed or left", whole.Load(), failed.Load())
+	if whole.Load() < callers/2 {
+		t.Errorf("got %d whole answers of %d requests", whole.Load(), callers)
+	}
+}
+
+// An answer that the engine spoils is an error of unknown outcome, and never
+// looks whole.
+func TestSpoiltAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults standin.EngineFaults
+		stream bool
+	}{
+		{"crossed", standin.EngineFaults{Crossed: true}, false},
+		{"short", standin.EngineFaults{Short: true}, false},
+		{"crossed stream", standin.EngineFaults{Crossed: true}, true},
+		{"mixed stream", standin.EngineFaults{Mixed: true}, true},
+		{"event twice", standin.EngineFaults{Twice: true}, true},
+		{"cut stream", standin.EngineFaults{Cut: 2}, true},
+		{"stream without its last event", standin.EngineFaults{Undone: true}, true},
+	}
+	s := newSystem(t, fleet.Policy{
+		Idempotent: true,
+		Attempts:   1,
+	}, 1)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s.engines[0].Set(test.faults)
+			got := s.send(t.Context(), standin.Prompt{
+				Text:   test.name,
+				Tokens: 4,
+			}, test.stream)
+			if got.err == nil && (got.status != 502 || got.outcome != "unknown" || !got.retry) {
+				t.Errorf("got a whole answer: %+v", got)
+			}
+		})
+	}
+}
+
+// A stream that each engine breaks off after three events goes on elsewhere,
+// and the caller gets each event once.
+func TestStreamResumes(t *testing.T) {
+	s := newSystem(t, fleet.Policy{
+		Idempotent: true,
+		Attempts:   5,
+	}, 1, 1, 1)
+	for _, engine := range s.engines {
+		engine.Set(standin.EngineFaults{Cut: 3})
+	}
+	prompt := standin.Prompt{
+		Text:   "draft",
+		Tokens: 14,
+	}
+	got := s.send(t.Context(), prompt, true)
+	want := answer{
+		status:  200,
+		outcome: "ran",
+		texts:   textsFor(prompt, true),
+	}
+	if diff := cmp.Diff(want, got, cmp.AllowUnexported(answer{})); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+}
+
+// A refusal is no proof that the request has not run if an attempt before it
+// may have.
+func TestRefusalAfterFailureIsUnknown(t *testing.T) {
+	s := newSystem(t, fleet.Policy{Idempotent: true}, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0)
+	s.chooser.ordered = true
+	s.engines[0].Set(standin.EngineFaults{Crossed: true})
+	got := s.send(t.Context(), standin.Prompt{Text: "price"}, false)
+	want := answer{
+		status:  502,
+		outcome: "unknown",
+		retry:   true,
+	}
+	if diff := cmp.Diff(want, got, cmp.AllowUnexported(answer{})); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+}
+
+// Frames that do not make up one whole answer leave the outcome unknown. Only a
+// refusal before the answer began says that the attempt has not run.
+func TestFrames(t *testing.T) {
+	head := upstream.Frame{Head: &upstream.Head{Status: 200}}
+	data := upstream.Frame{Data: []byte("x")}
+	end := upstream.Frame{End: &upstream.End{
+		Length: 1,
+		Sum:    xxh3.HashString("x"),
+	}}
+	tests := []struct {
+		name   string
+		frames []upstream.Frame
+		want   string
+	}{
+		{"whole", []upstream.Frame{head, data, end}, "ran"},
+		{"refusal", []upstream.Frame{{Refusal: &upstream.Refusal{Reason: upstream.ReasonExpired}}}, "notrun"},
+		{"nothing", nil, "unknown"},
+		{"failure", []upstream.Frame{{Failure: &upstream.Failure{}}}, "unknown"},
+		{"data before head", []upstream.Frame{data, head, end}, "unknown"},
+		{"two heads", []upstream.Frame{head, head, data, end}, "unknown"},
+		{"no end", []upstream.Frame{head, data}, "unknown"},
+		{"data missing", []upstream.Frame{head, end}, "unknown"},
+		{"data twice", []upstream.Frame{head, data, data, end}, "unknown"},
+		{"data changed", []upstream.Frame{head, {Data: []byte("y")}, end}, "unknown"},
+		{"refusal after head", []upstream.Frame{head, {Refusal: &upstream.Refusal{}}}, "unknown"},
+		{"reservation", []upstream.Frame{{Reserved: &upstream.Reserved{}}, head, data, end}, "unknown"},
+		{"end of another", []upstream.Frame{head, data, {
+			Attempt: [16]byte{1},
+			End:     end.End,
+		}}, "unknown"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			config := newConfig(t)
+			mux := &wire.Mux{}
+			mux.Handle(upstream.StreamAttempt, func(_ context.Context, stream *wire.Stream) {
+				var open upstream.Frame
+				_ = stream.Receive(&open)
+				for _, frame := range test.frames {
+					if frame.Attempt == ([16]byte{}) {
+						frame.Attempt = open.Attempt
+					}
+					_ = stream.Send(frame)
+				}
+			})
+			s := &system{}
+			s.start(t, fleet.Policy{
+				Idempotent: true,
+				Attempts:   1,
+			}, config, []foxtailstack.Address{serve(t, mux, config)})
+			got := s.send(t.Context(), standin.Prompt{}, false)
+			if diff := cmp.Diff(test.want, got.outcome); diff != "" {
+				t.Errorf("outcome (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
