Quarantine requests that crash engines, among all entries

A request that made each engine exit was run on every upstream that the policy allowed, and again when its caller sent it again through another entry.

--- a/command/run.go
+++ b/command/run.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"os"
+	"syscall"
 
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/keys"
@@ -72,6 +74,7 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			s := &node.Standin{}
 			s.Engine.Fencing = fencing
+			s.Engine.Crash = func() { _ = syscall.Kill(os.Getpid(), syscall.SIGKILL) }
 			err := s.Listen(foxtailstack.Address(platform), foxtailstack.Address(engine))
 			if err != nil {
 				return err
--- a/node/entry.go
+++ b/node/entry.go
@@ -7,11 +7,13 @@
 	"time"
 
 	"github.com/alexedwards/flow"
+	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/balance"
 	"github.com/foxtailstack/foxtailstack/booking"
 	"github.com/foxtailstack/foxtailstack/entry"
 	"github.com/foxtailstack/foxtailstack/fleet"
 	"github.com/foxtailstack/foxtailstack/keys"
+	"github.com/foxtailstack/foxtailstack/platform"
 	"github.com/foxtailstack/foxtailstack/settings"
 	"github.com/foxtailstack/foxtailstack/team"
 	"go.uber.org/zap"
@@ -24,6 +26,7 @@
 	listener net.Listener
 	handler  *flow.Mux
 	callers  *entry.Server
+	entries  *peers
 }
 
 // NewEntry binds the addresses of an entry.
@@ -32,14 +35,11 @@
 		base:    newBase(cfg, config, log),
 		replica: &fleet.Replica{},
 		handler: flow.New(),
-	}
-	err := e.listenPeers(config)
-	if err != nil {
-		return nil, err
-	}
-	e.listener, err = listenHTTP(cfg.Listen.Callers, config.Listen, cfg.TLS.Plain)
-	if err != nil {
-		return nil, err
+		entries: &peers{
+			list: platform.NewDiscovery(cfg.Platform.List),
+			role: foxtailstack.RoleEntry,
+			self: cfg.Name,
+		},
 	}
 	e.callers = &entry.Server{
 		Replica:  e.replica,
@@ -48,6 +48,16 @@
 		Ring:     e.ring,
 		Chooser:  &balance.Chooser{Replica: e.replica},
 		Limiter:  &team.Limiter{},
+		Peers:    e.entries.Addresses,
+	}
+	e.mux.Handle(entry.StreamCrash, e.callers.ServeCrash)
+	err := e.listenPeers(config)
+	if err != nil {
+		return nil, err
+	}
+	e.listener, err = listenHTTP(cfg.Listen.Callers, config.Listen, cfg.TLS.Plain)
+	if err != nil {
+		return nil, err
 	}
 	e.callers.Routes(e.handler)
 	e.handler.HandleFunc("/ready", e.serveReady, http.MethodGet)
@@ -79,6 +89,7 @@
 		Replica: e.replica,
 	}
 	go poller.Run(background)
+	go e.entries.run(background)
 	go e.awaitConfig(background, e.replica)
 	go func() { _ = e.mux.Serve(background) }()
 	err := serveHTTP(ctx, e.listener, e.handler, e.grace(), e.drain)
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -12,6 +12,9 @@
 //	stopping NAME                    send SIGTERM and wait until it drains
 //	sigkill NAME                     end a process by SIGKILL
 //	freeze NAME, thaw NAME           stop and continue a process
+//	revive                           start the crashed engines again
+//	crashes N                        check how many engines have crashed
+//	list                             put the entries on the list of instances
 //	apply FILE [ENTRY]               declare resources and wait until in force
 //	send [-to ENTRY] [-key KEY] [-stream] [-bg NAME] SERVICE JSON
 //	                                 send a request; its answer is the last one,
--- a/scenario/entry_test.go
+++ b/scenario/entry_test.go
@@ -1,14 +1,24 @@
 package scenario
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 	"syscall"
+	"time"
 
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/platform"
+	"github.com/foxtailstack/foxtailstack/platform/standin"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
+// listDelay is longer than the entries take to read the list of instances.
+const listDelay = 3 * time.Second
+
 // await waits until the engines have begun a text so many times.
 func (s *system) await(_ *testscript.TestScript, args []string) error {
 	if len(args) != 2 {
@@ -37,3 +47,78 @@
 	}
 	return await(stopTimeout, func() bool { return strings.Contains(p.log.String(), "to=draining") })
 }
+
+// crashed returns the names of the engines that have crashed.
+func (s *system) crashed() []string {
+	var names []string
+	for name, p := range s.processes {
+		if !strings.HasPrefix(name, "engine") {
+			continue
+		}
+		select {
+		case err := <-p.exited:
+			p.exited <- err
+			if err != nil {
+				names = append(names, name)
+			}
+		default:
+		}
+	}
+	return names
+}
+
+// crashes checks how many engines have crashed and not been started again.
+func (s *system) crashes(_ *testscript.TestScript, args []string) error {
+	if len(args) != 1 {
+		return errUsage
+	}
+	got := s.crashed()
+	if strconv.Itoa(len(got)) != args[0] {
+		return fmt.Errorf("engines %q have crashed, expected %s", got, args[0])
+	}
+	return nil
+}
+
+// list puts the entries that a script has started on the list of instances and
+// waits until they have read it.
+func (s *system) list(_ *testscript.TestScript, _ []string) error {
+	var groups []platform.TargetGroup
+	for name := range s.processes {
+		if strings.HasPrefix(name, "entry") {
+			groups = append(groups, platform.TargetGroup{
+				Targets: []string{s.peerAddress(name)},
+				Labels: map[string]string{
+					platform.LabelName: name,
+					platform.LabelRole: string(foxtailstack.RoleEntry),
+				},
+			})
+		}
+	}
+	data, err := json.Marshal(groups)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequest(http.MethodPut, s.processes["platform"].url+standin.PathList, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	time.Sleep(listDelay)
+	return response.Body.Close()
+}
+
+// revive starts the crashed engines again, at their addresses.
+func (s *system) revive(_ *testscript.TestScript, _ []string) error {
+	for _, name := range s.crashed() {
+		url := s.processes[name].url
+		address := strings.TrimPrefix(url, "http://")
+		err := s.launch(name, url, address, "standin", "--engine", address)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -36,6 +36,9 @@
 			"faults":   withSystem((*system).engineFaults),
 			"await":    withSystem((*system).await),
 			"stopping": withSystem((*system).stopping),
+			"crashes":  withSystem((*system).crashes),
+			"list":     withSystem((*system).list),
+			"revive":   withSystem((*system).revive),
 		},
 		RequireUniqueNames: true,
 	})
