--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -64,6 +65,9 @@
 			Suspect:     a.suspect,
 		},
 	})
+	if err != nil && !a.request.policy.Idempotent {
+		return notRun(upstream.ReasonDown, 0, err) // without Run it never starts
+	}
 	if err != nil {
 		return a.ended(ctx, a.lost(err))
 	}
@@ -147,8 +151,8 @@
 // ended returns the error of an attempt, which is the end of ctx if that broke
 // the stream.
 func (a *attempt) ended(ctx context.Context, err error) error {
-	failed, ok := err.(*AttemptError)
-	if ok && failed.Reason == upstream.ReasonLost && ctx.Err() != nil {
+	var failed *AttemptError
+	if errors.As(err, &failed) && failed.lost() && ctx.Err() != nil {
 		return unknown(upstream.ReasonExpired, context.Cause(ctx))
 	}
 	return err
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -69,7 +69,7 @@
 func (s *Server) tellAll(list []Crash) {
 	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
 	defer cancel()
-	peers := s.Peers()
+	peers := s.Peers(ctx)
 	slots := make(chan struct{}, maxTellers)
 	var wg sync.WaitGroup
 	for _, peer := range peers {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -52,11 +52,10 @@
 // dispatch makes attempts until one answers or no more are allowed.
 func (s *Server) dispatch(ctx context.Context, req *request, out *response) error {
 	if !req.policy.Idempotent {
-		done, version, err := s.repeat(ctx, req, out)
+		done, err := s.repeat(ctx, req, out)
 		if done || err != nil {
 			return err
 		}
-		req.replaces = version
 	}
 	p := &pursuit{
 		server:  s,
@@ -116,7 +115,7 @@
 	})
 	began := time.Now()
 	err := a.run(ctx, s, p.out)
-	s.Chooser.Report(member, resultOf(err, time.Since(began)))
+	s.Chooser.Report(member, resultOf(ctx, err, time.Since(began)))
 	var failed *AttemptError
 	switch {
 	case err == nil:
@@ -129,6 +128,9 @@
 			Upstream: member.ID.Upstream,
 		})
 	}
+	if !p.request.policy.Idempotent {
+		return s.rejoin(ctx, p.request, p.out, err)
+	}
 	return err
 }
 
@@ -170,7 +172,7 @@
 // final reports whether no attempt may follow one that failed so.
 func (p *pursuit) final(failed *AttemptError, known bool) bool {
 	switch {
-	case errors.Is(failed, booking.ErrClaimed), errors.Is(failed, booking.ErrUnavailable):
+	case errors.Is(failed, booking.ErrUnavailable):
 		return true
 	case errors.Is(failed, ErrCallerGone), errors.Is(failed, ErrAnswerTooLong):
 		return true
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -68,9 +68,14 @@
 	return e.Err
 }
 
+// lost reports whether the stream broke after the attempt could have started.
+func (e *AttemptError) lost() bool {
+	return e.Outcome == foxtailstack.Unknown && e.Reason == upstream.ReasonLost
+}
+
 // crashed reports whether the attempt may have crashed its upstream.
 func (e *AttemptError) crashed() bool {
-	return e.Reason == upstream.ReasonCrashed || e.Reason == upstream.ReasonLost
+	return e.lost() || e.Outcome == foxtailstack.Unknown && e.Reason == upstream.ReasonCrashed
 }
 
 // notRun says that a reserved attempt was not let start.
--- a/entry/server.go
+++ b/entry/server.go
@@ -47,7 +47,7 @@
 	Chooser  Chooser
 	Limiter  Limiter
 	// Peers returns the addresses of the other entries. It may be nil.
-	Peers func() []foxtailstack.Address
+	Peers func(ctx context.Context) []foxtailstack.Address
 
 	door       door
 	budgets    budgets
--- a/node/entry.go
+++ b/node/entry.go
@@ -23,6 +23,7 @@
 type Entry struct {
 	*base
 	replica  *fleet.Replica
+	chooser  *balance.Chooser
 	listener net.Listener
 	handler  *flow.Mux
 	callers  *entry.Server
@@ -36,17 +37,23 @@
 		replica: &fleet.Replica{},
 		handler: flow.New(),
 		entries: &peers{
-			list: platform.NewDiscovery(cfg.Platform.List),
+			list: listOf(cfg),
 			role: foxtailstack.RoleEntry,
 			self: cfg.Name,
 		},
 	}
+	e.chooser = &balance.Chooser{
+		Replica:   e.replica,
+		Client:    e.client,
+		Centre:    cfg.Centre,
+		Instances: listOf(cfg),
+	}
 	e.callers = &entry.Server{
 		Replica:  e.replica,
 		Client:   e.client,
-		Recorder: booking.Recorder{Table: e.table},
+		Recorder: e.recorder(),
 		Ring:     e.ring,
-		Chooser:  &balance.Chooser{Replica: e.replica},
+		Chooser:  e.chooser,
 		Limiter:  &team.Limiter{},
 		Peers:    e.entries.Addresses,
 	}
@@ -60,12 +67,14 @@
 		return nil, err
 	}
 	e.callers.Routes(e.handler)
-	e.handler.HandleFunc("/ready", e.serveReady, http.MethodGet)
+	e.handler.HandleFunc(pathReady, e.serveReady, http.MethodGet)
 	operators := &fleet.API{
 		Store:   fleet.Store{Table: e.table},
 		Replica: e.replica,
 	}
 	operators.Routes(e.handler)
+	bookings := &booking.API{Resolver: e.callers.Resolver()}
+	bookings.Routes(e.handler, nil)
 	return e, nil
 }
 
@@ -89,8 +98,9 @@
 		Replica: e.replica,
 	}
 	go poller.Run(background)
-	go e.entries.run(background)
+	go e.serveStatus(background)
 	go e.awaitConfig(background, e.replica)
+	go e.chooser.Run(background)
 	go func() { _ = e.mux.Serve(background) }()
 	err := serveHTTP(ctx, e.listener, e.handler, e.grace(), e.drain)
 	e.client.Close()
@@ -110,3 +120,11 @@
 	<-lingered
 	return nil
 }
+
+// listOf returns the platform's list of instances, or nil if there is none.
+func listOf(cfg settings.Settings) foxtailstack.InstanceList {
+	if cfg.Platform.List == "" {
+		return nil
+	}
+	return platform.NewDiscovery(cfg.Platform.List)
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -2,64 +2,45 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
 )
 
-const (
-	// peersInterval is the time between two reads of the list of instances.
-	peersInterval = 2 * time.Second
-	// peersTimeout bounds one read.
-	peersTimeout = 2 * time.Second
-)
+// maxPeersAge is how long the addresses of peers are used.
+const maxPeersAge = 30 * time.Second
 
-// peers are the other instances of one role. The last list read stays in use
-// while the platform gives none.
+// peers are the other instances of one role. Since they are asked for seldom,
+// the list is read on demand; the last one stays in use while the platform
+// gives none.
 type peers struct {
-	list    foxtailstack.InstanceList
-	role    foxtailstack.Role
-	self    foxtailstack.InstanceName
-	current atomic.Pointer[[]foxtailstack.Address]
-}
+	list foxtailstack.InstanceList
+	role foxtailstack.Role
+	self foxtailstack.InstanceName
 
-// Addresses returns the addresses of the instances.
-func (p *peers) Addresses() []foxtailstack.Address {
-	current := p.current.Load()
-	if current == nil {
-		return nil
-	}
-	return *current
+	mu        sync.Mutex
+	read      time.Time
+	addresses []foxtailstack.Address
 }
 
-// run reads the list until ctx ends.
-func (p *peers) run(ctx context.Context) {
-	ticker := time.NewTicker(peersInterval)
-	defer ticker.Stop()
-	for {
-		p.read(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+// Addresses returns the addresses of the instances.
+func (p *peers) Addresses(ctx context.Context) []foxtailstack.Address {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.list == nil || !p.read.IsZero() && time.Since(p.read) < maxPeersAge {
+		return p.addresses
 	}
-}
-
-// read reads the list once.
-func (p *peers) read(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, peersTimeout)
-	defer cancel()
 	instances, err := p.list.Instances(ctx)
 	if err != nil {
-		return
+		return p.addresses
 	}
-	var addresses []foxtailstack.Address
+	p.addresses = nil
+	p.read = time.Now()
 	for _, instance := range instances {
 		if instance.Role == p.role && instance.Name != p.self {
-			addresses = append(addresses, instance.Address)
+			p.addresses = append(p.addresses, instance.Address)
 		}
 	}
-	p.current.Store(&addresses)
+	return p.addresses
 }
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -24,6 +24,7 @@
 	replica *fleet.Replica
 	gate    *upstream.Gate
 	server  *upstream.Server
+	flusher *booking.Flusher
 }
 
 // NewSidecar binds the address of a sidecar.
@@ -39,10 +40,18 @@
 		Engine:      upstream.NewHTTPEngine(cfg.Upstream.Engine),
 		Gate:        s.gate,
 		Ledger:      &booking.Ledger{},
-		Recorder:    booking.Recorder{Table: s.table},
 		Ring:        s.ring,
 	}
+	s.gate.SetWeight(func(name foxtailstack.TeamName) float64 {
+		return s.replica.Snapshot().Teams[name].Weight
+	})
+	s.flusher = &booking.Flusher{
+		Recorder: s.recorder(),
+		Ledger:   s.server.Ledger,
+	}
+	s.server.Flusher = s.flusher
 	s.mux.Handle(upstream.StreamAttempt, s.server.ServeAttempt)
+	s.mux.Handle(upstream.StreamProbe, s.server.ServeProbe)
 	responder := booking.Responder{
 		Incarnation: s.server.Incarnation,
 		Ledger:      s.server.Ledger,
@@ -66,6 +75,7 @@
 		Replica: s.replica,
 	}
 	go poller.Run(background)
+	go s.serveStatus(background)
 	go s.follow(background)
 	go s.server.Watch(background)
 	go s.awaitConfig(background, s.replica)
@@ -97,6 +107,12 @@
 	case <-ctx.Done():
 		return ErrGrace
 	}
+	for _, key := range s.flusher.Wait(ctx) {
+		s.log.Error("booking has no record",
+			zap.String("team", string(key.Team)),
+			zap.Stringer("service", key.Service),
+			zap.String("key", key.Idempotency))
+	}
 	<-lingered
 	err := s.mux.Drain(ctx, upstream.StreamAttempt, booking.StreamInquiry)
 	if err != nil {
--- a/scenario/caller_test.go
+++ b/scenario/caller_test.go
@@ -47,8 +47,8 @@
 	}, nil
 }
 
-// apply declares the resources in a file. The upstreams in it have the
-// addresses of their sidecars.
+// apply declares the resources in a file. ADDRESS(NAME) in it becomes the
+// address of a link to the process.
 func (s *system) apply(ts *testscript.TestScript, args []string) error {
 	if len(args) == 0 {
 		return errUsage
@@ -59,7 +59,11 @@
 	}
 	text := ts.ReadFile(args[0])
 	for name := range s.processes {
-		text = strings.ReplaceAll(text, "ADDRESS("+name+")", s.peerAddress(name))
+		l, err := s.linkTo(name)
+		if err != nil {
+			return err
+		}
+		text = strings.ReplaceAll(text, "ADDRESS("+name+")", l.address())
 	}
 	path := filepath.Join(s.dir, "applied.toml")
 	err := os.WriteFile(path, []byte(text), 0o644)
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -28,6 +28,12 @@
 //	slow DURATION                    delay all operations of the table
 //	lose N                           lose the answers of the next N commits
 //	faults ENGINE JSON               set the faults of an engine
+//	cut NAME, heal NAME              drop all packets between a process and its
+//	                                 peers, and let them pass again
+//	load [-to ENTRY] [-stream] [-booking] [-callers N] [-requests N]
+//	     NAME SERVICE JSON           send many requests in the background
+//	unload NAME [refused]            wait for a load; all must have run, or with
+//	                                 refused some may have been refused
 //
 // The commands stop, kill and skip of testscript itself must not be used: stop
 // ends a script early, as passed.
--- a/scenario/entry_test.go
+++ b/scenario/entry_test.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"strings"
 	"syscall"
-	"time"
 
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/platform"
@@ -16,9 +15,6 @@
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-// listDelay is longer than the entries take to read the list of instances.
-const listDelay = 3 * time.Second
-
 // await waits until the engines have begun a text so many times.
 func (s *system) await(_ *testscript.TestScript, args []string) error {
 	if len(args) != 2 {
@@ -79,8 +75,7 @@
 	return nil
 }
 
-// list puts the entries that a script has started on the list of instances and
-// waits until they have read it.
+// list puts the entries that a script has started on the list of instances.
 func (s *system) list(_ *testscript.TestScript, _ []string) error {
 	var groups []platform.TargetGroup
 	for name := range s.processes {
@@ -106,7 +101,6 @@
 	if err != nil {
 		return err
 	}
-	time.Sleep(listDelay)
 	return response.Body.Close()
 }
 
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -39,6 +39,10 @@
 			"crashes":  withSystem((*system).crashes),
 			"list":     withSystem((*system).list),
 			"revive":   withSystem((*system).revive),
+			"cut":      withSystem((*system).cut),
+			"heal":     withSystem((*system).heal),
+			"load":     withSystem((*system).load),
+			"unload":   withSystem((*system).unload),
 		},
 		RequireUniqueNames: true,
 	})
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
-	"github.com/foxtailstack/foxtailstack/booking"
 	"github.com/foxtailstack/foxtailstack/timeline"
 	"github.com/foxtailstack/foxtailstack/wire"
 )
@@ -18,9 +18,8 @@
 	id     foxtailstack.AttemptID
 	open   *Open
 	// run is set once a non-idempotent attempt may start.
-	run *Run
-	// answer is kept of a non-idempotent attempt.
-	answer booking.Answer
+	run    *Run
+	booked booked
 }
 
 // serve admits and runs the attempt.
@@ -45,10 +44,11 @@
 		Left:     a.open.Left,
 	})
 	if err != nil {
-		a.refuse(gateReason(err))
+		a.refuseWith(gateRefusal(err))
 		return
 	}
-	defer a.server.Gate.Leave()
+	a.booked.leave = sync.OnceFunc(a.server.Gate.Leave)
+	defer a.booked.leave()
 	if reason := a.unfit(); reason != "" {
 		a.refuse(reason) // it waited
 		return
@@ -97,17 +97,14 @@
 	}
 	if a.run != nil {
 		call.Fencing = a.run.Number
+		call.Booking = a.run.Key.String()
 	}
 	copied := transfer{attempt: a}
 	answer, err := a.server.Engine.Run(ctx, call)
 	if err == nil {
 		err = copied.run(answer)
 	}
-	if err == nil && copied.long {
-		a.finish(ErrAnswerTooLong)
-	} else {
-		a.finish(err)
-	}
+	a.finish(err)
 	if err == nil {
 		a.record(EventEnd, "")
 		return
@@ -123,11 +120,7 @@
 		a.fail(ReasonMismatch)
 	case errors.Is(err, foxtailstack.ErrEngineRefused):
 		a.server.suspectDown(ctx)
-		if a.run == nil {
-			a.refuse(ReasonDown)
-		} else {
-			a.fail(ReasonFailed)
-		}
+		a.refuse(ReasonDown)
 	case ctx.Err() != nil:
 		a.fail(ReasonExpired)
 	case errors.Is(err, foxtailstack.ErrEngineLost):
@@ -150,13 +143,18 @@
 
 // refuse ends an attempt that the engine has not seen.
 func (a *attempt) refuse(reason Reason) {
-	a.record(EventRefuse, string(reason))
-	refusal := &Refusal{Reason: reason}
+	refusal := Refusal{Reason: reason}
 	switch reason {
 	case ReasonDraining, ReasonDown:
 		refusal.Retry = downRetry
 	}
-	_ = a.send(Frame{Refusal: refusal})
+	a.refuseWith(refusal)
+}
+
+// refuseWith ends an attempt that the engine has not seen.
+func (a *attempt) refuseWith(refusal Refusal) {
+	a.record(EventRefuse, string(refusal.Reason))
+	_ = a.send(Frame{Refusal: &refusal})
 }
 
 // fail ends an attempt that the engine may have run.
@@ -175,14 +173,6 @@
 	})
 }
 
-// gateReason returns the reason that stands for an error of the gate.
-func gateReason(err error) Reason {
-	if errors.Is(err, ErrDraining) {
-		return ReasonDraining
-	}
-	return ReasonFull
-}
-
 // downRetry is when a caller may come back who was refused by an upstream that
 // leaves or whose engine is down.
 const downRetry = time.Second
--- a/upstream/server.go
+++ b/upstream/server.go
@@ -29,7 +29,7 @@
 	Engine      foxtailstack.Engine
 	Gate        *Gate
 	Ledger      *booking.Ledger
-	Recorder    booking.Recorder
+	Flusher     *booking.Flusher
 	Ring        *timeline.Ring
 
 	door   door
--- a/upstream/transfer.go
+++ b/upstream/transfer.go
@@ -15,15 +15,10 @@
 const (
 	// chunkSize is the size of the largest piece of an answer in bytes.
 	chunkSize = 16 << 10
-	// maxAnswer is the length of the longest recorded answer in bytes.
-	maxAnswer = 256 << 10
 	// typeEvents is the media type of server-sent events.
 	typeEvents = "text/event-stream"
 )
 
-// ErrAnswerTooLong means that an answer is too long to be recorded.
-var ErrAnswerTooLong = errors.New("answer too long for the record")
-
 // transfer sends the answer of the engine on to the entry.
 type transfer struct {
 	attempt *attempt
@@ -33,8 +28,6 @@
 	begun bool
 	// lost is the error by which the entry was lost.
 	lost error
-	// long is set once the answer is too long to be recorded.
-	long bool
 	// head is the head of the answer until it is sent.
 	head *Head
 	// held is the piece of the body that is sent with the next or with the end.
@@ -52,8 +45,8 @@
 	defer answer.Body.Close()
 	t.begun = true
 	a := t.attempt
-	a.answer.Status = answer.Status
-	a.answer.ContentType = answer.ContentType
+	a.booked.answer.Status = answer.Status
+	a.booked.answer.ContentType = answer.ContentType
 	t.head = &Head{
 		Status:      answer.Status,
 		ContentType: answer.ContentType,
@@ -65,6 +58,9 @@
 	} else {
 		err = t.bytes(answer.Body)
 	}
+	if err == nil {
+		err = a.conclude()
+	}
 	if err != nil {
 		return err
 	}
@@ -169,14 +165,7 @@
 func (t *transfer) count(data []byte) {
 	_, _ = t.sum.Write(data) // never fails
 	t.length += uint64(len(data))
-	a := t.attempt
-	if a.run == nil {
-		return
-	}
-	t.long = t.long || len(a.answer.Body)+len(data) > maxAnswer
-	if !t.long {
-		a.answer.Body = append(a.answer.Body, data...)
-	}
+	t.attempt.keep(data)
 }
 
 // send sends a piece of the body, behind the head if that is not sent yet. It
