--- a/balance/directory_test.go
+++ b/balance/directory_test.go
@@ -82,6 +82,10 @@
 		Outcome: foxtailstack.NotRun,
 		Refused: true,
 	}
+	crashed := entry.Result{
+		Outcome: foxtailstack.Unknown,
+		Crashed: true,
+	}
 	type step struct {
 		after  time.Duration
 		result entry.Result
@@ -97,6 +101,7 @@
 		{"failures broken by an answer", []step{{0, failed, 2}, {0, ran, 1}, {0, failed, 2}}, Healthy},
 		{"refusals", []step{{0, refused, 50}}, Healthy},
 		{"callers that go away", []step{{0, canceled, 50}}, Healthy},
+		{"requests that crash it", []step{{0, crashed, 50}}, Healthy},
 		{"slow against the others", []step{{0, slow, 20}, {time.Second, slow, 0}}, Ejected},
 		{"on trial after a time", []step{{0, failed, 3}, {minCooling, failed, 0}}, Probing},
 		{"fails on trial", []step{{0, failed, 3}, {minCooling, failed, 1}}, Ejected},
--- a/balance/health.go
+++ b/balance/health.go
@@ -114,7 +114,7 @@
 	p := d.find(id)
 	failed := result.Unreachable || result.Outcome == foxtailstack.Unknown
 	switch {
-	case p == nil || result.Canceled:
+	case p == nil || result.Canceled || result.Crashed: // the request may be the cause
 	case failed:
 		d.failed(now, p)
 	case result.Outcome == foxtailstack.Ran:
