Probe a dying engine again, and keep the ports of scripts apart

A probe that met an engine while it died got a connection and lost it, which counted as alive. It now tries again, and calls an engine down that loses three.

The ports were taken from those that the kernel gives to connections, and not checked for UDP; they now lie below.

--- a/balance/chooser_test.go
+++ b/balance/chooser_test.go
@@ -68,8 +68,16 @@
 		// want are the waits of requests at once, a little later and much later.
 		want []time.Duration
 	}{
-		{"answered", 2 * time.Millisecond, []time.Duration{2 * time.Millisecond, 0, 2 * time.Millisecond}},
-		{"silent", time.Hour, []time.Duration{maxAwait, maxAwait, maxAwait}},
+		{
+			name: "answered",
+			way:  2 * time.Millisecond,
+			want: []time.Duration{2 * time.Millisecond, 0, 2 * time.Millisecond},
+		},
+		{
+			name: "silent",
+			way:  time.Hour,
+			want: []time.Duration{maxAwait, maxAwait, maxAwait},
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/balance/directory_test.go
+++ b/balance/directory_test.go
@@ -96,17 +96,61 @@
 		steps []step
 		want  State
 	}{
-		{"failures in a row", []step{{0, failed, 3}}, Ejected},
-		{"unreachable", []step{{0, unreachable, 3}}, Ejected},
-		{"failures broken by an answer", []step{{0, failed, 2}, {0, ran, 1}, {0, failed, 2}}, Healthy},
-		{"refusals", []step{{0, refused, 50}}, Healthy},
-		{"callers that go away", []step{{0, canceled, 50}}, Healthy},
-		{"requests that crash it", []step{{0, crashed, 50}}, Healthy},
-		{"slow against the others", []step{{0, slow, 20}, {time.Second, slow, 0}}, Ejected},
-		{"on trial after a time", []step{{0, failed, 3}, {minCooling, failed, 0}}, Probing},
-		{"fails on trial", []step{{0, failed, 3}, {minCooling, failed, 1}}, Ejected},
-		{"slow on trial", []step{{0, failed, 3}, {minCooling, slow, 1}}, Ejected},
-		{"passes its trial", []step{{0, failed, 3}, {minCooling, ran, 3}}, Healthy},
+		{
+			name:  "failures in a row",
+			steps: []step{{0, failed, 3}},
+			want:  Ejected,
+		},
+		{
+			name:  "unreachable",
+			steps: []step{{0, unreachable, 3}},
+			want:  Ejected,
+		},
+		{
+			name:  "failures broken by an answer",
+			steps: []step{{0, failed, 2}, {0, ran, 1}, {0, failed, 2}},
+			want:  Healthy,
+		},
+		{
+			name:  "refusals",
+			steps: []step{{0, refused, 50}},
+			want:  Healthy,
+		},
+		{
+			name:  "callers that go away",
+			steps: []step{{0, canceled, 50}},
+			want:  Healthy,
+		},
+		{
+			name:  "requests that crash it",
+			steps: []step{{0, crashed, 50}},
+			want:  Healthy,
+		},
+		{
+			name:  "slow against the others",
+			steps: []step{{0, slow, 20}, {time.Second, slow, 0}},
+			want:  Ejected,
+		},
+		{
+			name:  "on trial after a time",
+			steps: []step{{0, failed, 3}, {minCooling, failed, 0}},
+			want:  Probing,
+		},
+		{
+			name:  "fails on trial",
+			steps: []step{{0, failed, 3}, {minCooling, failed, 1}},
+			want:  Ejected,
+		},
+		{
+			name:  "slow on trial",
+			steps: []step{{0, failed, 3}, {minCooling, slow, 1}},
+			want:  Ejected,
+		},
+		{
+			name:  "passes its trial",
+			steps: []step{{0, failed, 3}, {minCooling, ran, 3}},
+			want:  Healthy,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -210,10 +254,38 @@
 		before int
 		want   fleet.Member
 	}{
-		{"home while it is free", free, free, free, 0, home},
-		{"second when home is full", full, free, free, 0, other},
-		{"another data centre when all here are full", full, full, free, 0, member(3, "b")},
-		{"second when own calls fill home", free, free, full, 5, other},
+		{
+			name:   "home while it is free",
+			home:   free,
+			other:  free,
+			away:   free,
+			before: 0,
+			want:   home,
+		},
+		{
+			name:   "second when home is full",
+			home:   full,
+			other:  free,
+			away:   free,
+			before: 0,
+			want:   other,
+		},
+		{
+			name:   "another data centre when all here are full",
+			home:   full,
+			other:  full,
+			away:   free,
+			before: 0,
+			want:   member(3, "b"),
+		},
+		{
+			name:   "second when own calls fill home",
+			home:   free,
+			other:  free,
+			away:   full,
+			before: 5,
+			want:   other,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/entry/bound_test.go
+++ b/entry/bound_test.go
@@ -19,11 +19,41 @@
 		wait      time.Duration
 		want      int
 	}{
-		{"floor", 0, 0, 0, budgetFloor},
-		{"default share", 100, 0, 0, budgetFloor + 10},
-		{"share of the policy", 100, 0.5, 0, budgetFloor + 50},
-		{"past window", 100, 0, budgetWindow, budgetFloor + 10},
-		{"forgotten", 100, 0, 2 * budgetWindow, budgetFloor},
+		{
+			name:      "floor",
+			successes: 0,
+			share:     0,
+			wait:      0,
+			want:      budgetFloor,
+		},
+		{
+			name:      "default share",
+			successes: 100,
+			share:     0,
+			wait:      0,
+			want:      budgetFloor + 10,
+		},
+		{
+			name:      "share of the policy",
+			successes: 100,
+			share:     0.5,
+			wait:      0,
+			want:      budgetFloor + 50,
+		},
+		{
+			name:      "past window",
+			successes: 100,
+			share:     0,
+			wait:      budgetWindow,
+			want:      budgetFloor + 10,
+		},
+		{
+			name:      "forgotten",
+			successes: 100,
+			share:     0,
+			wait:      2 * budgetWindow,
+			want:      budgetFloor,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/entry/whole_test.go
+++ b/entry/whole_test.go
@@ -83,13 +83,41 @@
 		faults standin.EngineFaults
 		stream bool
 	}{
-		{"crossed", standin.EngineFaults{Crossed: true}, false},
-		{"short", standin.EngineFaults{Short: true}, false},
-		{"crossed stream", standin.EngineFaults{Crossed: true}, true},
-		{"mixed stream", standin.EngineFaults{Mixed: true}, true},
-		{"event twice", standin.EngineFaults{Twice: true}, true},
-		{"cut stream", standin.EngineFaults{Cut: 2}, true},
-		{"stream without its last event", standin.EngineFaults{Undone: true}, true},
+		{
+			name:   "crossed",
+			faults: standin.EngineFaults{Crossed: true},
+			stream: false,
+		},
+		{
+			name:   "short",
+			faults: standin.EngineFaults{Short: true},
+			stream: false,
+		},
+		{
+			name:   "crossed stream",
+			faults: standin.EngineFaults{Crossed: true},
+			stream: true,
+		},
+		{
+			name:   "mixed stream",
+			faults: standin.EngineFaults{Mixed: true},
+			stream: true,
+		},
+		{
+			name:   "event twice",
+			faults: standin.EngineFaults{Twice: true},
+			stream: true,
+		},
+		{
+			name:   "cut stream",
+			faults: standin.EngineFaults{Cut: 2},
+			stream: true,
+		},
+		{
+			name:   "stream without its last event",
+			faults: standin.EngineFaults{Undone: true},
+			stream: true,
+		},
 	}
 	s := newSystem(t, fleet.Policy{
 		Idempotent: true,
@@ -165,22 +193,74 @@
 		frames []upstream.Frame
 		want   string
 	}{
-		{"whole", []upstream.Frame{head, data, end}, "ran"},
-		{"refusal", []upstream.Frame{{Refusal: &upstream.Refusal{Reason: upstream.ReasonExpired}}}, "notrun"},
-		{"nothing", nil, "unknown"},
-		{"failure", []upstream.Frame{{Failure: &upstream.Failure{}}}, "unknown"},
-		{"data before head", []upstream.Frame{data, head, end}, "unknown"},
-		{"two heads", []upstream.Frame{head, head, data, end}, "unknown"},
-		{"no end", []upstream.Frame{head, data}, "unknown"},
-		{"data missing", []upstream.Frame{head, end}, "unknown"},
-		{"data twice", []upstream.Frame{head, data, data, end}, "unknown"},
-		{"data changed", []upstream.Frame{head, {Data: []byte("y")}, end}, "unknown"},
-		{"refusal after head", []upstream.Frame{head, {Refusal: &upstream.Refusal{}}}, "unknown"},
-		{"reservation", []upstream.Frame{{Reserved: &upstream.Reserved{}}, head, data, end}, "unknown"},
-		{"end of another", []upstream.Frame{head, data, {
-			Attempt: [16]byte{1},
-			End:     end.End,
-		}}, "unknown"},
+		{
+			name:   "whole",
+			frames: []upstream.Frame{head, data, end},
+			want:   "ran",
+		},
+		{
+			name:   "refusal",
+			frames: []upstream.Frame{{Refusal: &upstream.Refusal{Reason: upstream.ReasonExpired}}},
+			want:   "notrun",
+		},
+		{
+			name:   "nothing",
+			frames: nil,
+			want:   "unknown",
+		},
+		{
+			name:   "failure",
+			frames: []upstream.Frame{{Failure: &upstream.Failure{}}},
+			want:   "unknown",
+		},
+		{
+			name:   "data before head",
+			frames: []upstream.Frame{data, head, end},
+			want:   "unknown",
+		},
+		{
+			name:   "two heads",
+			frames: []upstream.Frame{head, head, data, end},
+			want:   "unknown",
+		},
+		{
+			name:   "no end",
+			frames: []upstream.Frame{head, data},
+			want:   "unknown",
+		},
+		{
+			name:   "data missing",
+			frames: []upstream.Frame{head, end},
+			want:   "unknown",
+		},
+		{
+			name:   "data twice",
+			frames: []upstream.Frame{head, data, data, end},
+			want:   "unknown",
+		},
+		{
+			name:   "data changed",
+			frames: []upstream.Frame{head, {Data: []byte("y")}, end},
+			want:   "unknown",
+		},
+		{
+			name:   "refusal after head",
+			frames: []upstream.Frame{head, {Refusal: &upstream.Refusal{}}},
+			want:   "unknown",
+		},
+		{
+			name:   "reservation",
+			frames: []upstream.Frame{{Reserved: &upstream.Reserved{}}, head, data, end},
+			want:   "unknown",
+		},
+		{
+			name: "end of another",
+			frames: []upstream.Frame{head, data, {
+				Attempt: [16]byte{1},
+				End:     end.End,
+			}},
+			want: "unknown",
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/node/life_test.go
+++ b/node/life_test.go
@@ -13,13 +13,41 @@
 		steps []step
 		want  Phase
 	}{
-		{"new", nil, Starting},
-		{"ready", []step{stepServe}, Serving},
-		{"stop before ready", []step{stepDrain, stepServe}, Draining},
-		{"stop twice", []step{stepServe, stepDrain, stepDrain}, Draining},
-		{"late ready", []step{stepServe, stepDrain, stepServe}, Draining},
-		{"failed", []step{stepServe, stepStop, stepServe, stepDrain}, Stopped},
-		{"whole", []step{stepServe, stepDrain, stepStop}, Stopped},
+		{
+			name:  "new",
+			steps: nil,
+			want:  Starting,
+		},
+		{
+			name:  "ready",
+			steps: []step{stepServe},
+			want:  Serving,
+		},
+		{
+			name:  "stop before ready",
+			steps: []step{stepDrain, stepServe},
+			want:  Draining,
+		},
+		{
+			name:  "stop twice",
+			steps: []step{stepServe, stepDrain, stepDrain},
+			want:  Draining,
+		},
+		{
+			name:  "late ready",
+			steps: []step{stepServe, stepDrain, stepServe},
+			want:  Draining,
+		},
+		{
+			name:  "failed",
+			steps: []step{stepServe, stepStop, stepServe, stepDrain},
+			want:  Stopped,
+		},
+		{
+			name:  "whole",
+			steps: []step{stepServe, stepDrain, stepStop},
+			want:  Stopped,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -25,6 +26,12 @@
 	poll = 10 * time.Millisecond
 )
 
+// Ports of the processes.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
 var errUsage = errors.New("wrong arguments")
 
 // process is one process of the binary.
@@ -239,14 +246,24 @@
 	}
 }
 
-// freeAddress returns a loopback address whose port is free.
+// freeAddress returns a loopback address whose port is free for TCP and UDP. It
+// lies below the ports that the kernel gives to connections, one of which could
+// take it before a process listens.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		packets, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		_ = packets.Close()
+		return address
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 // await waits until ready returns true.
--- a/upstream/event_test.go
+++ b/upstream/event_test.go
@@ -18,13 +18,48 @@
 		want []string
 		err  error
 	}{
-		{"events", "id: 1\ndata: a\n\ndata: [DONE]\n\n", []string{"1 a", "0 [DONE]"}, io.EOF},
-		{"carriage returns", "id: 7\r\ndata: a\r\ndata: b\r\n\r\n", []string{"7 a\nb"}, io.EOF},
-		{"no space, blank lines, comment", "\n\n:ping\ndata:a\n\n", []string{"0 a"}, io.EOF},
-		{"text id", "id: x9\ndata: a\n\n", []string{"0 a"}, io.EOF},
-		{"cut in a line", "data: a\n\ndata: b", []string{"0 a"}, ErrEventCut},
-		{"cut before the blank line", "data: a\n\ndata: b\n", []string{"0 a"}, ErrEventCut},
-		{"too long", "data: " + strings.Repeat("a", maxEvent) + "\n\n", nil, ErrEventTooLong},
+		{
+			name: "events",
+			in:   "id: 1\ndata: a\n\ndata: [DONE]\n\n",
+			want: []string{"1 a", "0 [DONE]"},
+			err:  io.EOF,
+		},
+		{
+			name: "carriage returns",
+			in:   "id: 7\r\ndata: a\r\ndata: b\r\n\r\n",
+			want: []string{"7 a\nb"},
+			err:  io.EOF,
+		},
+		{
+			name: "no space, blank lines, comment",
+			in:   "\n\n:ping\ndata:a\n\n",
+			want: []string{"0 a"},
+			err:  io.EOF,
+		},
+		{
+			name: "text id",
+			in:   "id: x9\ndata: a\n\n",
+			want: []string{"0 a"},
+			err:  io.EOF,
+		},
+		{
+			name: "cut in a line",
+			in:   "data: a\n\ndata: b",
+			want: []string{"0 a"},
+			err:  ErrEventCut,
+		},
+		{
+			name: "cut before the blank line",
+			in:   "data: a\n\ndata: b\n",
+			want: []string{"0 a"},
+			err:  ErrEventCut,
+		},
+		{
+			name: "too long",
+			in:   "data: " + strings.Repeat("a", maxEvent) + "\n\n",
+			want: nil,
+			err:  ErrEventTooLong,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/upstream/gate_test.go
+++ b/upstream/gate_test.go
@@ -42,12 +42,48 @@
 		// after is when the call learns of it.
 		after time.Duration
 	}{
-		{"no time left", 0, nil, ErrExpired, 0},
-		{"cannot start in time", time.Second, nil, ErrFull, 0},
-		{"draining", time.Minute, func(g *Gate, _ context.CancelFunc) { g.Drain() }, ErrDraining, 0},
-		{"canceled", time.Minute, func(_ *Gate, cancel context.CancelFunc) { cancel() }, context.Canceled, 0},
-		{"expired while waiting", 4 * time.Second, nil, ErrExpired, 4 * time.Second},
-		{"resized", time.Minute, func(g *Gate, _ context.CancelFunc) { g.Resize(2) }, nil, 0},
+		{
+			name:  "no time left",
+			left:  0,
+			do:    nil,
+			want:  ErrExpired,
+			after: 0,
+		},
+		{
+			name:  "cannot start in time",
+			left:  time.Second,
+			do:    nil,
+			want:  ErrFull,
+			after: 0,
+		},
+		{
+			name:  "draining",
+			left:  time.Minute,
+			do:    func(g *Gate, _ context.CancelFunc) { g.Drain() },
+			want:  ErrDraining,
+			after: 0,
+		},
+		{
+			name:  "canceled",
+			left:  time.Minute,
+			do:    func(_ *Gate, cancel context.CancelFunc) { cancel() },
+			want:  context.Canceled,
+			after: 0,
+		},
+		{
+			name:  "expired while waiting",
+			left:  4 * time.Second,
+			do:    nil,
+			want:  ErrExpired,
+			after: 4 * time.Second,
+		},
+		{
+			name:  "resized",
+			left:  time.Minute,
+			do:    func(g *Gate, _ context.CancelFunc) { g.Resize(2) },
+			want:  nil,
+			after: 0,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -169,7 +205,23 @@
 		name     string
 		team     foxtailstack.TeamName
 		priority foxtailstack.Priority
-	}{{"a-low", "a", 0}, {"a-high", "a", 5}, {"b-low", "b", -3}, {"a-late", "a", 0}} {
+	}{{
+		name:     "a-low",
+		team:     "a",
+		priority: 0,
+	}, {
+		name:     "a-high",
+		team:     "a",
+		priority: 5,
+	}, {
+		name:     "b-low",
+		team:     "b",
+		priority: -3,
+	}, {
+		name:     "a-late",
+		team:     "a",
+		priority: 0,
+	}} {
 		q.Add(now, Ticket{
 			Team:     call.team,
 			Priority: call.priority,
--- a/upstream/health.go
+++ b/upstream/health.go
@@ -13,6 +13,10 @@
 const (
 	// probeInterval is the time between two probes of an engine that is down.
 	probeInterval = 200 * time.Millisecond
+	// probeTries is how often a probe tries a connection that is lost, and
+	// probePause the time between two tries.
+	probeTries = 3
+	probePause = 10 * time.Millisecond
 	// probeTimeout bounds one probe.
 	probeTimeout = time.Second
 )
@@ -68,13 +72,23 @@
 	}
 }
 
-// probe reports whether the engine takes connections. An engine that answers
-// with an error, or late, does.
+// probe reports whether the engine answers. One that answers with an error, or
+// late, does. A dying engine may still take a connection before it refuses them,
+// so that a lost connection is tried again.
 func (s *Server) probe(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	_, err := s.Engine.Load(ctx)
-	return !errors.Is(err, foxtailstack.ErrEngineRefused)
+	for range probeTries {
+		_, err := s.Engine.Load(ctx)
+		if errors.Is(err, foxtailstack.ErrEngineRefused) {
+			return false
+		}
+		if !errors.Is(err, foxtailstack.ErrEngineLost) {
+			return true
+		}
+		time.Sleep(probePause)
+	}
+	return false
 }
 
 // lane lets one attempt at a time run that may crash the engine, so that a
