Order engines to load what their service declares

A sidecar compares what its engine has loaded with the service, and gives one order at a time, which counts once the engine's state shows it. The fencing number is made of a number that the sidecar raises in the table and of the revision; before each order the table is asked whether a later sidecar has come, for the engines that do not check. Without the table there are no orders.

Seen to fail: without that question an earlier sidecar that was paused gave an order to an engine that ignores the number; without recognising its own row after a lost answer a sidecar took two numbers.

--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -78,6 +78,7 @@
 	go s.serveStatus(background)
 	go s.follow(background)
 	go s.server.Watch(background)
+	go s.reconciler().Run(background)
 	go s.awaitConfig(background, s.replica)
 	served := make(chan error, 1)
 	go func() { served <- s.mux.Serve(background) }()
@@ -142,3 +143,34 @@
 		}
 	}
 }
+
+// reconciler returns what orders the engine to load what its service declares.
+func (s *Sidecar) reconciler() *upstream.Reconciler {
+	return &upstream.Reconciler{
+		Holder: &upstream.Holder{
+			Table:       s.table,
+			Upstream:    s.settings.Upstream.Name,
+			Incarnation: s.server.Incarnation,
+		},
+		Engine:  s.server.Engine,
+		Want:    s.want,
+		Changed: s.replica.Changed,
+		Ring:    s.ring,
+	}
+}
+
+// want returns what the engine is to have loaded. Plain services load nothing.
+func (s *Sidecar) want() (upstream.Want, bool) {
+	id, err := fleet.ParseUpstreamID(s.settings.Upstream.Name)
+	if err != nil {
+		return upstream.Want{}, false
+	}
+	snapshot := s.replica.Snapshot()
+	service, ok := snapshot.Services[id.ServiceID]
+	return upstream.Want{
+		Revision: snapshot.Revision,
+		Model:    service.Model,
+		Adapter:  service.Adapter,
+		Version:  service.Version,
+	}, ok && service.Model != ""
+}
--- a/scenario/entry_test.go
+++ b/scenario/entry_test.go
@@ -116,3 +116,24 @@
 	}
 	return nil
 }
+
+// loaded waits until an engine has loaded a version of a model.
+func (s *system) loaded(_ *testscript.TestScript, args []string) error {
+	if len(args) != 3 || s.processes[args[0]] == nil {
+		return errUsage
+	}
+	var state foxtailstack.EngineState
+	err := await(startTimeout, func() bool {
+		response, err := http.Get(s.processes[args[0]].url + "/state")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		return json.NewDecoder(response.Body).Decode(&state) == nil &&
+			state.Model == args[1] && state.Version == args[2]
+	})
+	if err != nil {
+		return fmt.Errorf("%w: %s has loaded %+v", err, args[0], state)
+	}
+	return nil
+}
--- /dev/null
+++ b/upstream/order_test.go
@@ -0,0 +1,154 @@
+package upstream
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/platform"
+	"github.com/foxtailstack/foxtailstack/platform/standin"
+	"github.com/foxtailstack/foxtailstack/timeline"
+	"github.com/google/go-cmp/cmp"
+)
+
+// loader is an engine that takes orders.
+type loader struct {
+	foxtailstack.Engine
+	checks bool // refuses old fencing numbers
+	lost   int  // orders whose answers are lost
+
+	mu     sync.Mutex
+	state  foxtailstack.EngineState
+	orders []foxtailstack.FencingNumber
+}
+
+func (l *loader) State(context.Context) (foxtailstack.EngineState, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state, nil
+}
+
+func (l *loader) Order(_ context.Context, want foxtailstack.EngineState) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.checks && want.Fencing < l.state.Fencing {
+		return foxtailstack.ErrEngineFenced
+	}
+	l.state = want
+	l.orders = append(l.orders, want.Fencing)
+	if l.lost > 0 {
+		l.lost--
+		return foxtailstack.ErrEngineFailed
+	}
+	return nil
+}
+
+// run runs the reconciler of one sidecar, which wants a version, for a time.
+func (l *loader) run(t *testing.T, table foxtailstack.Table, holder *Holder, version string, d time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	defer cancel()
+	holder.Table = table
+	holder.Upstream = "f/s/w"
+	r := Reconciler{
+		Holder: holder,
+		Engine: l,
+		Want: func() (Want, bool) {
+			return Want{
+				Revision: 7,
+				Model:    "m",
+				Version:  version,
+			}, true
+		},
+		Changed: func() <-chan struct{} { return nil },
+		Ring:    &timeline.Ring{},
+	}
+	r.Run(ctx)
+}
+
+func TestReconciler(t *testing.T) {
+	first := foxtailstack.FencingNumber(1<<numberBits | 7)
+	second := foxtailstack.FencingNumber(2<<numberBits | 7)
+	for _, checks := range []bool{true, false} {
+		tests := []struct {
+			name string
+			do   func(t *testing.T, l *loader, table *standin.FaultyTable)
+			want []foxtailstack.FencingNumber
+		}{
+			{
+				name: "one order",
+				do: func(t *testing.T, l *loader, table *standin.FaultyTable) {
+					l.run(t, table, &Holder{}, "1", time.Minute)
+				},
+				want: []foxtailstack.FencingNumber{first},
+			},
+			{
+				name: "no orders without the table",
+				do: func(t *testing.T, l *loader, table *standin.FaultyTable) {
+					table.Set(standin.Faults{Outage: true})
+					l.run(t, table, &Holder{}, "1", time.Minute)
+				},
+				want: nil,
+			},
+			{
+				name: "orders once the table is back",
+				do: func(t *testing.T, l *loader, table *standin.FaultyTable) {
+					table.Set(standin.Faults{Outage: true})
+					time.AfterFunc(30*time.Second, func() { table.Set(standin.Faults{}) })
+					l.run(t, table, &Holder{}, "1", 2*time.Minute)
+				},
+				want: []foxtailstack.FencingNumber{first},
+			},
+			{
+				name: "lost answer of the table",
+				do: func(t *testing.T, l *loader, table *standin.FaultyTable) {
+					table.Set(standin.Faults{LoseAnswers: 1})
+					l.run(t, table, &Holder{Incarnation: foxtailstack.NewIncarnation()}, "1", time.Minute)
+				},
+				want: []foxtailstack.FencingNumber{first},
+			},
+			{
+				name: "lost answer of the engine",
+				do: func(t *testing.T, l *loader, table *standin.FaultyTable) {
+					l.lost = 1
+					l.run(t, table, &Holder{}, "1", time.Minute)
+				},
+				want: []foxtailstack.FencingNumber{first},
+			},
+			{
+				name: "engine that starts anew",
+				do: func(t *testing.T, l *loader, table *standin.FaultyTable) {
+					holder := &Holder{}
+					l.run(t, table, holder, "1", time.Minute)
+					l.state = foxtailstack.EngineState{}
+					l.run(t, table, holder, "1", time.Minute)
+				},
+				want: []foxtailstack.FencingNumber{first, first},
+			},
+			{
+				name: "earlier sidecar that was paused",
+				do: func(t *testing.T, l *loader, table *standin.FaultyTable) {
+					old := &Holder{}
+					l.run(t, table, old, "1", time.Minute)
+					l.run(t, table, &Holder{Incarnation: foxtailstack.Incarnation{1}}, "2", time.Minute)
+					l.run(t, table, old, "1", time.Minute)
+				},
+				want: []foxtailstack.FencingNumber{first, second},
+			},
+		}
+		for _, test := range tests {
+			t.Run(test.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					l := &loader{checks: checks}
+					test.do(t, l, &standin.FaultyTable{Table: &platform.Memory{}})
+					if diff := cmp.Diff(test.want, l.orders); diff != "" {
+						t.Errorf("orders with checks %t (-want +got):\n%s", checks, diff)
+					}
+				})
+			})
+		}
+	}
+}
