--- a/demo/once.go
+++ b/demo/once.go
@@ -57,13 +57,13 @@
 	calls := []call{
 		{
 			kind:    "lookup",
-			service: serviceDraft,
+			service: ServiceDraft,
 			prompt:  standin.Prompt{Text: "price of enzymes"},
 			want:    "answer to price of enzymes",
 		},
 		{
 			kind:    "draft",
-			service: serviceDraft,
+			service: ServiceDraft,
 			prompt: standin.Prompt{
 				Text:   "cost breakdown",
 				Tokens: draftTokens,
--- a/demo/system.go
+++ b/demo/system.go
@@ -36,7 +36,7 @@
 const (
 	Token          = "demo-token"
 	fleetName      = "formula"
-	serviceDraft   = "drafting"
+	ServiceDraft   = "drafting"
 	serviceOrder   = "orders"
 	policyLookup   = "lookup"
 	policyBooking  = "booking"
@@ -55,10 +55,25 @@
 	cancel   context.CancelFunc
 	stopped  chan error
 	running  int
+	slots    int
+}
+
+// Options are the options of a system. The zero value is ready for use.
+type Options struct {
+	// Slots is how many calls each engine runs at once; zero means eight.
+	Slots int
 }
 
 // Start starts a system with two drafting upstreams and one for orders.
 func Start(ctx context.Context, log *zap.Logger) (*System, error) {
+	return StartWith(ctx, log, Options{})
+}
+
+// StartWith starts a system as Start does, with options.
+func StartWith(ctx context.Context, log *zap.Logger, options Options) (*System, error) {
+	if options.Slots == 0 {
+		options.Slots = slots
+	}
 	authority, err := keys.NewAuthority()
 	if err != nil {
 		return nil, err
@@ -78,6 +93,7 @@
 		log:      log,
 		cancel:   cancel,
 		stopped:  make(chan error),
+		slots:    options.Slots,
 	}
 	err = s.start(ctx)
 	if err != nil {
@@ -118,7 +134,7 @@
 		}: fleet.Policy{},
 		{
 			Kind: fleet.KindService,
-			Name: fleetName + "/" + serviceDraft,
+			Name: fleetName + "/" + ServiceDraft,
 		}: fleet.Service{
 			Path:   "/v1/completions",
 			Policy: policyLookup,
@@ -131,7 +147,7 @@
 			Policy: policyBooking,
 		},
 	}
-	for i, service := range []string{serviceDraft, serviceDraft, serviceOrder} {
+	for i, service := range []string{ServiceDraft, ServiceDraft, serviceOrder} {
 		name := fmt.Sprintf("%s/%s/%s%d", fleetName, service, upstreamPrefix, i+1)
 		spec, err := s.startUpstream(ctx, name)
 		if err != nil {
@@ -158,7 +174,7 @@
 	cfg.Upstream = settings.Upstream{
 		Name:   name,
 		Engine: engine.EngineURL(),
-		Slots:  slots,
+		Slots:  s.slots,
 	}
 	sidecar, err := node.NewSidecar(cfg, s.config, s.log)
 	if err != nil {
@@ -168,7 +184,7 @@
 	return fleet.Upstream{
 		Address: foxtailstack.Address(sidecar.Addr().String()),
 		Centre:  centre,
-		Slots:   slots,
+		Slots:   s.slots,
 	}, nil
 }
 
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -51,6 +51,7 @@
 // experiments holds the experiments by name.
 var experiments = map[string]Experiment{
 	"idle": Idle,
+	"path": Path,
 }
 
 // Names returns the names of all experiments in order.
