--- a/entry/system_test.go
+++ b/entry/system_test.go
@@ -77,7 +77,7 @@
 }
 
 // serve listens for a mux until the test ends and returns its address.
-func serve(t *testing.T, mux *wire.Mux, config keys.Config) foxtailstack.Address {
+func serve(t testing.TB, mux *wire.Mux, config keys.Config) foxtailstack.Address {
 	t.Helper()
 	addr, err := mux.Listen("127.0.0.1:0", config.Peer)
 	if err != nil {
@@ -94,7 +94,7 @@
 }
 
 // newConfig returns the TLS settings of processes on loopback.
-func newConfig(t *testing.T) keys.Config {
+func newConfig(t testing.TB) keys.Config {
 	t.Helper()
 	authority, err := keys.NewAuthority()
 	if err != nil {
@@ -112,7 +112,7 @@
 }
 
 // newSystem starts a sidecar with its engine for each number of slots.
-func newSystem(t *testing.T, policy fleet.Policy, slots ...int) *system {
+func newSystem(t testing.TB, policy fleet.Policy, slots ...int) *system {
 	t.Helper()
 	config := newConfig(t)
 	s := &system{}
@@ -139,7 +139,7 @@
 }
 
 // start starts the entry before sidecars at the given addresses.
-func (s *system) start(t *testing.T, policy fleet.Policy, config keys.Config, addresses []foxtailstack.Address) {
+func (s *system) start(t testing.TB, policy fleet.Policy, config keys.Config, addresses []foxtailstack.Address) {
 	t.Helper()
 	specs := map[fleet.ID]fleet.Spec{
 		{
