--- a/wire/message.go
+++ b/wire/message.go
@@ -1,10 +1,12 @@
 package wire
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -64,33 +66,61 @@
 	return nil
 }
 
+// maxPooled is the capacity of the largest buffer that is used again in bytes.
+const maxPooled = 64 << 10
+
+// buffers holds the buffers of messages that have been written or read.
+var buffers = sync.Pool{New: func() any { return &bytes.Buffer{} }}
+
+// newBuffer returns an empty buffer.
+func newBuffer() *bytes.Buffer {
+	buffer, _ := buffers.Get().(*bytes.Buffer)
+	buffer.Reset()
+	return buffer
+}
+
+// release lets a buffer be used again.
+func release(buffer *bytes.Buffer) {
+	if buffer.Cap() <= maxPooled {
+		buffers.Put(buffer)
+	}
+}
+
 // Write writes v behind its length to w, in one call of w.Write.
 func Write(w io.Writer, v any) error {
-	data, err := cbor.Marshal(v)
+	buffer := newBuffer()
+	defer release(buffer)
+	_, _ = buffer.Write(make([]byte, lengthSize)) // never fails
+	err := cbor.MarshalToBuffer(v, buffer)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
-	if len(data) > MaxMessage {
-		return fmt.Errorf("%w: %d bytes", ErrTooLong, len(data))
+	framed := buffer.Bytes()
+	n := len(framed) - lengthSize
+	if n > MaxMessage {
+		return fmt.Errorf("%w: %d bytes", ErrTooLong, n)
 	}
-	framed := make([]byte, lengthSize, lengthSize+len(data))
-	binary.BigEndian.PutUint32(framed, uint32(len(data)))
-	_, err = w.Write(append(framed, data...))
+	binary.BigEndian.PutUint32(framed, uint32(n))
+	_, err = w.Write(framed)
 	return err
 }
 
-// Read reads one message with its length from r into v.
+// Read reads one message with its length from r into v, which keeps nothing of
+// the buffer that it was read into.
 func Read(r io.Reader, v any) error {
 	var length [lengthSize]byte
 	_, err := io.ReadFull(r, length[:])
 	if err != nil {
 		return err
 	}
-	n := binary.BigEndian.Uint32(length[:])
+	n := int(binary.BigEndian.Uint32(length[:]))
 	if n > MaxMessage {
 		return fmt.Errorf("%w: %d bytes", ErrTooLong, n)
 	}
-	data := make([]byte, n)
+	buffer := newBuffer()
+	defer release(buffer)
+	buffer.Grow(n)
+	data := buffer.AvailableBuffer()[:n]
 	_, err = io.ReadFull(r, data)
 	if err != nil {
 		return fmt.Errorf("%w: cut short: %w", ErrMalformed, err)
