--- a/balance/directory_test.go
+++ b/balance/directory_test.go
@@ -82,6 +82,10 @@
 		Outcome: foxtailstack.NotRun,
 		Refused: true,
 	}
+	crashed := entry.Result{
+		Outcome: foxtailstack.Unknown,
+		Crashed: true,
+	}
 	type step struct {
 		after  time.Duration
 		result entry.Result
@@ -117,6 +121,11 @@
 			steps: []step{{0, canceled, 50}},
 			want:  Healthy,
 		},
+		{
+			name:  "requests that crash it",
+			steps: []step{{0, crashed, 50}},
+			want:  Healthy,
+		},
 		{
 			name:  "slow against the others",
 			steps: []step{{0, slow, 20}, {time.Second, slow, 0}},
--- a/node/entry.go
+++ b/node/entry.go
@@ -27,6 +27,7 @@
 	listener net.Listener
 	handler  *flow.Mux
 	callers  *entry.Server
+	entries  *peers
 }
 
 // NewEntry binds the addresses of an entry.
@@ -35,14 +36,11 @@
 		base:    newBase(cfg, config, log),
 		replica: &fleet.Replica{},
 		handler: flow.New(),
-	}
-	err := e.listenPeers(config)
-	if err != nil {
-		return nil, err
-	}
-	e.listener, err = listenHTTP(cfg.Listen.Callers, config.Listen, cfg.TLS.Plain)
-	if err != nil {
-		return nil, err
+		entries: &peers{
+			list: listOf(cfg),
+			role: foxtailstack.RoleEntry,
+			self: cfg.Name,
+		},
 	}
 	e.chooser = &balance.Chooser{
 		Replica:   e.replica,
@@ -57,6 +55,16 @@
 		Ring:     e.ring,
 		Chooser:  e.chooser,
 		Limiter:  &team.Limiter{},
+		Peers:    e.entries.Addresses,
+	}
+	e.mux.Handle(entry.StreamCrash, e.callers.ServeCrash)
+	err := e.listenPeers(config)
+	if err != nil {
+		return nil, err
+	}
+	e.listener, err = listenHTTP(cfg.Listen.Callers, config.Listen, cfg.TLS.Plain)
+	if err != nil {
+		return nil, err
 	}
 	e.callers.Routes(e.handler)
 	e.handler.HandleFunc(pathReady, e.serveReady, http.MethodGet)
