Check histories of bookings through failing processes

Real entries, sidecars, ledgers and records run over streams in memory under virtual time; processes pause, die and restart, the table refuses, loses answers and applies commits late, messages are delayed and cut.

--- /dev/null
+++ b/booking/world_test.go
@@ -0,0 +1,380 @@
+package booking_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/alexedwards/flow"
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/booking"
+	"github.com/foxtailstack/foxtailstack/entry"
+	"github.com/foxtailstack/foxtailstack/fleet"
+	"github.com/foxtailstack/foxtailstack/platform"
+	"github.com/foxtailstack/foxtailstack/platform/standin"
+	"github.com/foxtailstack/foxtailstack/team"
+	"github.com/foxtailstack/foxtailstack/timeline"
+	"github.com/foxtailstack/foxtailstack/upstream"
+	"github.com/foxtailstack/foxtailstack/wire"
+	"github.com/fxamacker/cbor/v2"
+)
+
+var orders = fleet.ServiceID{
+	Fleet:   "formula",
+	Service: "orders",
+}
+
+// host is one process, which may be paused or killed.
+type host struct {
+	mu      sync.Mutex
+	resumed chan struct{}
+	dead    context.Context
+	kill    context.CancelFunc
+	streams []*wire.Stream
+}
+
+func newHost() *host {
+	h := &host{}
+	h.dead, h.kill = context.WithCancel(context.Background())
+	return h
+}
+
+// step waits while the host is paused and, now and then, pauses by itself.
+func (h *host) step(chaos float64) error {
+	if rand.Float64() < chaos {
+		time.Sleep(rand.N(7 * time.Second))
+	}
+	h.mu.Lock()
+	resumed := h.resumed
+	h.mu.Unlock()
+	if resumed != nil {
+		<-resumed
+	}
+	return h.dead.Err()
+}
+
+func (h *host) pause(d time.Duration) {
+	resumed := make(chan struct{})
+	h.mu.Lock()
+	h.resumed = resumed
+	h.mu.Unlock()
+	time.Sleep(d)
+	close(resumed)
+}
+
+// die ends the host: nothing that it does from now on has an effect.
+func (h *host) die() {
+	h.kill()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.streams {
+		s.Cancel()
+	}
+}
+
+// hold ends a stream with the host.
+func (h *host) hold(s *wire.Stream) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.streams = append(h.streams, s)
+}
+
+// hostTable is the table as one host reaches it.
+type hostTable struct {
+	*standin.FaultyTable
+	host  *host
+	world *world
+}
+
+func (t *hostTable) Get(ctx context.Context, key foxtailstack.Key) (foxtailstack.Row, error) {
+	if t.host.step(t.world.rate()) != nil {
+		return foxtailstack.Row{}, foxtailstack.ErrUnavailable
+	}
+	row, err := t.FaultyTable.Get(ctx, key)
+	if t.host.step(t.world.rate()) != nil {
+		return row, foxtailstack.ErrUnavailable
+	}
+	return row, err
+}
+
+func (t *hostTable) Commit(ctx context.Context, writes ...foxtailstack.Write) error {
+	if t.host.step(t.world.rate()) != nil {
+		return foxtailstack.ErrUnavailable
+	}
+	faults := standin.Faults{
+		Outage: t.world.down(),
+		Delay:  rand.N(20 * time.Millisecond),
+	}
+	if rand.Float64() < 5*t.world.rate() {
+		faults.LoseAnswers = 1
+	}
+	if rand.Float64() < 5*t.world.rate() {
+		faults.Late = 1
+		faults.LateBy = rand.N(10 * time.Second)
+	}
+	t.Set(faults)
+	err := t.FaultyTable.Commit(ctx, writes...)
+	if t.host.step(t.world.rate()) != nil {
+		return foxtailstack.ErrUncertain
+	}
+	return err
+}
+
+// run is one run of a key by an engine.
+type run struct {
+	key     string
+	attempt string
+	seq     int64
+}
+
+// world is a set of entries and sidecars with what runs on the engines.
+type world struct {
+	chaos    float64
+	memory   platform.Memory
+	replica  fleet.Replica
+	seq      func() int64
+	mu       sync.Mutex
+	outage   bool
+	runs     []run
+	sidecars map[foxtailstack.Address]*sidecar
+	entries  []*host
+}
+
+// sidecar is one incarnation of a sidecar.
+type sidecar struct {
+	*host
+	server    *upstream.Server
+	responder booking.Responder
+	world     *world
+	fencing   bool
+	numbers   map[string]foxtailstack.FencingNumber
+}
+
+func newWorld(t *testing.T, seq func() int64, teams ...string) *world {
+	t.Helper()
+	w := &world{
+		seq:      seq,
+		sidecars: map[foxtailstack.Address]*sidecar{},
+		entries:  []*host{newHost(), newHost(), newHost()},
+	}
+	specs := []struct{ kind, name, spec string }{
+		{"policies", "formula/booking", `{"idempotent":false}`},
+		{"services", "formula/orders", `{"path":"/orders","policy":"booking"}`},
+		{"upstreams", "formula/orders/w0", `{"address":"127.0.0.1:1","centre":"c1","slots":8}`},
+		{"upstreams", "formula/orders/w1", `{"address":"127.0.0.1:2","centre":"c1","slots":8}`},
+		{"upstreams", "formula/orders/w2", `{"address":"127.0.0.1:3","centre":"c1","slots":8}`},
+	}
+	for _, name := range teams {
+		specs = append(specs, struct{ kind, name, spec string }{"teams", name, `{"callers":["` + team.Hash(name) + `"]}`})
+	}
+	for i, s := range specs {
+		err := w.replica.Apply([]fleet.Change{{Resource: fleet.Resource{
+			ID: fleet.ID{
+				Kind: fleet.Kind(s.kind),
+				Name: s.name,
+			},
+			Version:  1,
+			Revision: foxtailstack.Revision(i + 1),
+			Spec:     json.RawMessage(s.spec),
+		}}}, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, member := range w.replica.Snapshot().Upstreams[orders] {
+		w.restart(member)
+	}
+	return w
+}
+
+// table returns the table as a host reaches it.
+func (w *world) table(h *host) *hostTable {
+	return &hostTable{
+		FaultyTable: &standin.FaultyTable{Table: &w.memory},
+		host:        h,
+		world:       w,
+	}
+}
+
+// rate returns the chance of a failure at each step.
+func (w *world) rate() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.chaos
+}
+
+func (w *world) setRate(chaos float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.chaos = chaos
+}
+
+func (w *world) down() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.outage
+}
+
+func (w *world) setOutage(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.outage = on
+}
+
+// restart replaces the sidecar of an upstream by a new incarnation.
+func (w *world) restart(member fleet.Member) {
+	s := &sidecar{
+		host:    newHost(),
+		world:   w,
+		fencing: member.ID.Upstream == "w0",
+		numbers: map[string]foxtailstack.FencingNumber{},
+	}
+	s.responder = booking.Responder{
+		Incarnation: foxtailstack.NewIncarnation(),
+		Ledger:      &booking.Ledger{},
+	}
+	s.server = &upstream.Server{
+		Upstream:    member.ID.String(),
+		Incarnation: s.responder.Incarnation,
+		Engine:      s,
+		Gate:        upstream.NewGate(8),
+		Ledger:      s.responder.Ledger,
+		Flusher: &booking.Flusher{
+			Recorder: booking.Recorder{Table: w.table(s.host)},
+			Ledger:   s.responder.Ledger,
+		},
+		Ring: &timeline.Ring{},
+	}
+	w.mu.Lock()
+	former := w.sidecars[member.Address]
+	w.sidecars[member.Address] = s
+	w.mu.Unlock()
+	if former != nil {
+		former.die()
+		former.server.Flusher.Close()
+	}
+}
+
+// Run is the engine beside a sidecar, which outlives it.
+func (s *sidecar) Run(_ context.Context, call foxtailstack.EngineCall) (foxtailstack.EngineAnswer, error) {
+	if s.step(s.world.rate()) != nil || rand.Float64() < 2*s.world.rate() {
+		return foxtailstack.EngineAnswer{}, foxtailstack.ErrEngineRefused
+	}
+	w := s.world
+	w.mu.Lock()
+	if s.fencing && call.Fencing <= s.numbers[call.Booking] {
+		w.mu.Unlock()
+		return foxtailstack.EngineAnswer{}, foxtailstack.ErrEngineFailed
+	}
+	s.numbers[call.Booking] = call.Fencing
+	w.runs = append(w.runs, run{
+		key:     call.Booking,
+		attempt: call.Attempt.String(),
+		seq:     w.seq(),
+	})
+	w.mu.Unlock()
+	time.Sleep(rand.N(300 * time.Millisecond))
+	if rand.Float64() < 2*w.rate() {
+		return foxtailstack.EngineAnswer{}, foxtailstack.ErrEngineFailed
+	}
+	return foxtailstack.EngineAnswer{
+		Status: http.StatusOK,
+		Body:   io.NopCloser(strings.NewReader(call.Attempt.String())),
+	}, nil
+}
+
+func (s *sidecar) Load(context.Context) (foxtailstack.EngineLoad, error) {
+	return foxtailstack.EngineLoad{}, nil
+}
+
+func (s *sidecar) State(context.Context) (foxtailstack.EngineState, error) {
+	return foxtailstack.EngineState{}, nil
+}
+
+func (s *sidecar) Order(context.Context, foxtailstack.EngineState) error {
+	return nil
+}
+
+// open connects an entry to the present sidecar at an address.
+func (w *world) open(h *host, address foxtailstack.Address, kind wire.Kind) (*wire.Stream, error) {
+	w.mu.Lock()
+	s := w.sidecars[address]
+	w.mu.Unlock()
+	if h.step(w.rate()) != nil || s.dead.Err() != nil {
+		return nil, wire.ErrUnreachable
+	}
+	near, nearEnd := wire.Pipe()
+	farEnd, far := wire.Pipe()
+	h.hold(near)
+	s.hold(far)
+	go w.carry(h, nearEnd, farEnd)
+	go w.carry(s.host, farEnd, nearEnd)
+	go func() {
+		if kind == booking.StreamInquiry {
+			s.responder.ServeInquiry(s.dead, far)
+		} else {
+			s.server.ServeAttempt(s.dead, far)
+		}
+		_ = far.CloseSend()
+	}()
+	return near, nil
+}
+
+// carry moves messages from one end to another, late and now and then not at all.
+func (w *world) carry(h *host, from, to *wire.Stream) {
+	for {
+		var message cbor.RawMessage
+		err := from.Receive(&message)
+		if errors.Is(err, io.EOF) {
+			_ = to.CloseSend()
+			return
+		}
+		time.Sleep(rand.N(3 * time.Millisecond))
+		if err != nil || h.step(w.rate()) != nil || rand.Float64() < w.rate() || to.Send(message) != nil {
+			to.Cancel()
+			from.Cancel()
+			return
+		}
+	}
+}
+
+// chooser picks an upstream at random.
+type chooser struct{ world *world }
+
+func (c chooser) Choose(context.Context, entry.Query) (fleet.Member, bool) {
+	members := c.world.replica.Snapshot().Upstreams[orders]
+	n := rand.IntN(len(members))
+	for _, member := range members {
+		if n == 0 {
+			return member, true
+		}
+		n--
+	}
+	return fleet.Member{}, false
+}
+
+func (c chooser) Report(fleet.Member, entry.Result) {}
+
+// entryServer returns an entry whose ring holds the attempts of one request.
+func (w *world) entryServer(h *host) (*flow.Mux, *entry.Server) {
+	server := &entry.Server{
+		Replica: &w.replica,
+		Client: wire.NewLocalClient(func(_ context.Context, address foxtailstack.Address, kind wire.Kind) (*wire.Stream, error) {
+			return w.open(h, address, kind)
+		}),
+		Recorder: booking.Recorder{Table: w.table(h)},
+		Ring:     &timeline.Ring{},
+		Chooser:  chooser{world: w},
+		Limiter:  &team.Limiter{},
+	}
+	mux := flow.New()
+	server.Routes(mux)
+	return mux, server
+}
--- a/wire/pipe.go
+++ b/wire/pipe.go
@@ -32,7 +32,7 @@
 
 // Pipe returns the two ends of a stream within one process. What one end sends
 // the other receives at once and in order.
-func Pipe() (*Stream, *Stream) {
+func Pipe() (near, far *Stream) {
 	there, back := newHalf(), newHalf()
 	return newStream(pipe{
 			in:  back,
