Wait for a reserved attempt before it is barred

Requests with one key that came at the same time barred each other's attempts whose Run was on its way: of 30 requests over three entries with messages up to 400 ms late, 3 were answered notrun although one of their own kind ran.

--- a/booking/history_test.go
+++ b/booking/history_test.go
@@ -17,6 +17,7 @@
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/booking"
 	"github.com/foxtailstack/foxtailstack/entry"
+	"github.com/google/go-cmp/cmp"
 )
 
 // output is what a caller was told, or what an engine has run.
@@ -241,3 +242,35 @@
 		t.Logf("%d requests: %v, %d runs", len(h.ops), h.outcomes, len(h.runs))
 	})
 }
+
+// TestJoin sends one key through all entries at the same time, for two teams.
+// All requests of a team get the one answer; another body is refused.
+func TestJoin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var clock atomic.Int64
+		h := &history{
+			world:    newWorld(t, func() int64 { return clock.Add(1) }, "blenders", "brewers"),
+			refused:  map[string]string{},
+			outcomes: map[string]int{},
+		}
+		h.delay = 400 * time.Millisecond
+		var calling sync.WaitGroup
+		for i := range 30 {
+			key := []string{"blenders/k", "brewers/k"}[i%2]
+			calling.Go(func() { h.book(h.entryAt(i%3), key, "body") })
+		}
+		calling.Wait()
+		want := map[string]int{foxtailstack.Ran.String(): 30}
+		if diff := cmp.Diff(want, h.outcomes); diff != "" {
+			t.Errorf("outcomes differ (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff(2, len(h.runs)); diff != "" {
+			t.Errorf("runs differ (-want +got):\n%s", diff)
+		}
+		out := h.book(h.entryAt(0), "blenders/k", "another body")
+		if out.kind != foxtailstack.NotRun.String() || len(h.runs) != 2 {
+			t.Errorf("another body: got %+v and %d runs", out, len(h.runs))
+		}
+		time.Sleep(time.Minute)
+	})
+}
--- a/booking/inquiry.go
+++ b/booking/inquiry.go
@@ -11,7 +11,7 @@
 const StreamInquiry wire.Kind = "booking-inquiry"
 
 // Inquiry asks the sidecar that a claim names how the attempt went. An attempt
-// that has not started is barred by it.
+// that has not started when its reservation lapses is barred by it.
 type Inquiry struct {
 	Attempt     foxtailstack.AttemptID   `cbor:"1,keyasint"`
 	Incarnation foxtailstack.Incarnation `cbor:"2,keyasint"`
@@ -26,8 +26,8 @@
 	// ledger has forgotten it: NotRun holds only if the record, read again, is
 	// still the same.
 	Outcome foxtailstack.Outcome `cbor:"1,keyasint"`
-	// Running is set with Unknown if the attempt runs or its answer is not
-	// recorded yet. Otherwise Unknown is final.
+	// Running is set with Unknown if the attempt may start, runs, or its answer
+	// is not recorded yet. Otherwise Unknown is final.
 	Running bool `cbor:"2,keyasint,omitempty"`
 }
 
--- a/booking/ledger.go
+++ b/booking/ledger.go
@@ -98,21 +98,25 @@
 	return len(l.attempts)
 }
 
-// Ask returns the outcome of an attempt. It bars one that has not started and
-// waits while one runs or its answer is not recorded; if ctx ends before that,
-// the Finding says Running.
+// Ask returns the outcome of an attempt. It waits while the attempt may start,
+// runs or its answer is not recorded, and bars it once its reservation has
+// lapsed; if ctx ends before that, the Finding says Running.
 func (l *Ledger) Ask(ctx context.Context, attempt foxtailstack.AttemptID) Finding {
-	l.mu.Lock()
-	e := l.attempts[attempt]
+	e, left := l.look(attempt)
 	if e == nil {
-		l.mu.Unlock()
 		return Finding{Outcome: foxtailstack.NotRun}
 	}
-	_ = e.fire(triggerBar) // an attempt that has started is waited for
-	l.mu.Unlock()
+	lapse := time.NewTimer(left)
+	defer lapse.Stop()
 	select {
 	case <-e.known:
 	case <-ctx.Done():
+	case <-lapse.C:
+		_ = l.fire(attempt, triggerBar) // one that has started is waited for
+		select {
+		case <-e.known:
+		case <-ctx.Done():
+		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -129,6 +133,22 @@
 	}
 }
 
+// look returns the entry of an attempt and the time left to its start. It bars
+// the attempt if there is none left.
+func (l *Ledger) look(attempt foxtailstack.AttemptID) (*entry, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.attempts[attempt]
+	if e == nil {
+		return nil, 0
+	}
+	left := time.Until(e.expires)
+	if left < 0 {
+		_ = e.fire(triggerBar) // one that has started is waited for
+	}
+	return e, max(left, 0)
+}
+
 // fire moves an attempt.
 func (l *Ledger) fire(attempt foxtailstack.AttemptID, t trigger) error {
 	l.mu.Lock()
--- a/booking/resolver.go
+++ b/booking/resolver.go
@@ -30,7 +30,7 @@
 }
 
 // Resolve returns what has become of a key and waits while its attempt runs. An
-// attempt that has not started is barred for good. It returns ErrMismatch if
+// attempt that does not start in time is barred for good. It returns ErrMismatch if
 // the key was used with another body, ErrLost if only an operator can tell, and
 // ErrUnsettled if nobody can tell now. ErrUnavailable alone means that the
 // record could not be read at all.
