--- a/booking/world_test.go
+++ b/booking/world_test.go
@@ -176,17 +176,19 @@
 	for _, name := range teams {
 		specs["teams/"+name] = `{"callers":["` + team.Hash(name) + `"]}`
 	}
+	revision := foxtailstack.Revision(0)
 	for id, spec := range specs {
 		kind, name, _ := strings.Cut(id, "/")
+		revision++
 		err := w.replica.Apply([]fleet.Change{{Resource: fleet.Resource{
 			ID: fleet.ID{
 				Kind: fleet.Kind(kind),
 				Name: name,
 			},
 			Version:  1,
-			Revision: 1,
+			Revision: revision,
 			Spec:     json.RawMessage(spec),
-		}}}, 0)
+		}}})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"time"
 
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/booking"
@@ -22,6 +23,7 @@
 	*base
 	replica *fleet.Replica
 	gate    *upstream.Gate
+	server  *upstream.Server
 	flusher *booking.Flusher
 }
 
@@ -32,7 +34,7 @@
 		replica: &fleet.Replica{},
 		gate:    upstream.NewGate(cfg.Upstream.Slots),
 	}
-	server := &upstream.Server{
+	s.server = &upstream.Server{
 		Upstream:    cfg.Upstream.Name,
 		Incarnation: foxtailstack.NewIncarnation(),
 		Engine:      upstream.NewHTTPEngine(cfg.Upstream.Engine),
@@ -40,15 +42,19 @@
 		Ledger:      &booking.Ledger{},
 		Ring:        s.ring,
 	}
+	s.gate.SetWeight(func(name foxtailstack.TeamName) float64 {
+		return s.replica.Snapshot().Teams[name].Weight
+	})
 	s.flusher = &booking.Flusher{
 		Recorder: s.recorder(),
-		Ledger:   server.Ledger,
+		Ledger:   s.server.Ledger,
 	}
-	server.Flusher = s.flusher
-	s.mux.Handle(upstream.StreamAttempt, server.ServeAttempt)
+	s.server.Flusher = s.flusher
+	s.mux.Handle(upstream.StreamAttempt, s.server.ServeAttempt)
+	s.mux.Handle(upstream.StreamProbe, s.server.ServeProbe)
 	responder := booking.Responder{
-		Incarnation: server.Incarnation,
-		Ledger:      server.Ledger,
+		Incarnation: s.server.Incarnation,
+		Ledger:      s.server.Ledger,
 	}
 	s.mux.Handle(booking.StreamInquiry, responder.ServeInquiry)
 	return s, s.listenPeers(config)
@@ -69,7 +75,9 @@
 		Replica: s.replica,
 	}
 	go poller.Run(background)
+	go s.serveStatus(background)
 	go s.follow(background)
+	go s.awaitConfig(background, s.replica)
 	served := make(chan error, 1)
 	go func() { served <- s.mux.Serve(background) }()
 	select {
@@ -77,30 +85,42 @@
 		return err
 	case <-ctx.Done():
 	}
-	limited, stop := context.WithTimeout(background, s.grace())
-	defer stop()
+	err := s.drain()
+	cancel()
+	err = errors.Join(err, <-served)
+	s.client.Close()
+	s.life.fire(stepStop)
+	s.log.Info("sidecar stopped")
+	return err
+}
+
+// drain refuses new attempts and waits until those in progress have ended and
+// the entries have taken their answers.
+func (s *Sidecar) drain() error {
+	s.life.fire(stepDrain)
+	lingered := time.After(linger)
+	ctx, cancel := context.WithTimeout(context.Background(), s.grace())
+	defer cancel()
 	select {
 	case <-s.gate.Drain():
-	case <-limited.Done():
+	case <-ctx.Done():
 		return ErrGrace
 	}
-	for _, key := range s.flusher.Wait(limited) {
+	for _, key := range s.flusher.Wait(ctx) {
 		s.log.Error("booking has no record",
 			zap.String("team", string(key.Team)),
 			zap.Stringer("service", key.Service),
 			zap.String("key", key.Idempotency))
 	}
-	if limited.Err() != nil {
+	<-lingered
+	err := s.mux.Drain(ctx, upstream.StreamAttempt, booking.StreamInquiry)
+	if err != nil {
 		return ErrGrace
 	}
-	cancel()
-	err := <-served
-	s.client.Close()
-	s.log.Info("sidecar stopped")
-	return err
+	return nil
 }
 
-// follow keeps the gate as wide as the configuration says.
+// follow keeps the gate as wide as the configuration says, and open or shut.
 func (s *Sidecar) follow(ctx context.Context) {
 	id, err := fleet.ParseUpstreamID(s.settings.Upstream.Name)
 	if err != nil {
@@ -112,6 +132,7 @@
 		member, ok := s.replica.Snapshot().Upstreams[id.ServiceID][id.Upstream]
 		if ok {
 			s.gate.Resize(member.Slots)
+			s.server.SetDrain(member.Drain)
 		}
 		select {
 		case <-ctx.Done():
--- a/scenario/caller_test.go
+++ b/scenario/caller_test.go
@@ -28,6 +28,7 @@
 type answer struct {
 	status  int
 	outcome string
+	retry   string
 	body    string
 	err     error
 }
@@ -46,8 +47,8 @@
 	}, nil
 }
 
-// apply declares the resources in a file. The upstreams in it have the
-// addresses of their sidecars.
+// apply declares the resources in a file. ADDRESS(NAME) in it becomes the
+// address of a link to the process.
 func (s *system) apply(ts *testscript.TestScript, args []string) error {
 	if len(args) == 0 {
 		return errUsage
@@ -58,7 +59,11 @@
 	}
 	text := ts.ReadFile(args[0])
 	for name := range s.processes {
-		text = strings.ReplaceAll(text, "ADDRESS("+name+")", s.peerAddress(name))
+		l, err := s.linkTo(name)
+		if err != nil {
+			return err
+		}
+		text = strings.ReplaceAll(text, "ADDRESS("+name+")", l.address())
 	}
 	path := filepath.Join(s.dir, "applied.toml")
 	err := os.WriteFile(path, []byte(text), 0o644)
@@ -137,6 +142,7 @@
 	return answer{
 		status:  response.StatusCode,
 		outcome: outcome,
+		retry:   response.Header.Get("Retry-After"),
 		body:    string(data),
 		err:     err,
 	}
@@ -164,6 +170,8 @@
 		ok = strconv.Itoa(s.last.status) == args[1]
 	case "outcome":
 		ok = s.last.outcome == args[1]
+	case "retry":
+		ok = (s.last.retry != "") == (args[1] == "yes")
 	case "body":
 		ok = strings.Contains(s.last.body, args[1])
 	}
