--- /dev/null
+++ b/command/booking.go
@@ -0,0 +1,137 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/booking"
+	"github.com/spf13/cobra"
+)
+
+// errBooking means that an entry refused a request about bookings.
+var errBooking = errors.New("bookings")
+
+// newBooking returns the command for bookings whose outcome is unknown.
+func newBooking() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "booking",
+		Short: "Show and settle the bookings whose outcome is unknown",
+	}
+	cmd.AddCommand(newBookingList(), newBookingSettle())
+	return cmd
+}
+
+// newBookingList returns the command that shows unsettled bookings.
+func newBookingList() *cobra.Command {
+	var o operator
+	cmd := &cobra.Command{
+		Use:     "list",
+		Short:   "Show the bookings whose outcome is unknown, one a line",
+		Example: "  foxtailstack booking list --server https://127.0.0.1:8443",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return o.listBookings(cmd.Context(), cmd.OutOrStdout())
+		},
+	}
+	o.flags(cmd)
+	return cmd
+}
+
+// newBookingSettle returns the command that settles a booking by hand.
+func newBookingSettle() *cobra.Command {
+	var o operator
+	var order booking.Order
+	cmd := &cobra.Command{
+		Use:   "settle TEAM FLEET/SERVICE KEY ATTEMPT ran|notrun",
+		Short: "Record whether a booking ran, after looking into the upstream's own books",
+		Long: `Record whether a booking ran, after looking into the upstream's own books.
+
+After ran every repeat is told so, with the word in place of an answer. After
+notrun the next repeat runs the booking: be sure that the upstream has not.`,
+		Example: "  foxtailstack booking settle blenders formula/orders k1 4f1a8b0c5d6e7f809192a3b4c5d6e7f8 ran --by ada --word 'order 17 is in the ledger'",
+		Args:    cobra.ExactArgs(5),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			fleetName, service, _ := strings.Cut(args[1], "/")
+			order.Team = foxtailstack.TeamName(args[0])
+			order.Fleet = foxtailstack.FleetName(fleetName)
+			order.Service = foxtailstack.ServiceName(service)
+			order.Key = args[2]
+			order.Attempt = args[3]
+			order.Outcome = args[4]
+			return o.settleBooking(cmd.Context(), order)
+		},
+	}
+	o.flags(cmd)
+	cmd.Flags().StringVar(&order.Operator, "by", "", "name of the operator")
+	cmd.Flags().StringVar(&order.Word, "word", "", "how the operator knows")
+	return cmd
+}
+
+// listBookings writes all unsettled bookings.
+func (o *operator) listBookings(ctx context.Context, out io.Writer) error {
+	after := ""
+	for {
+		data, err := o.bookings(ctx, http.MethodGet, "?after="+url.QueryEscape(after), nil)
+		if err != nil {
+			return err
+		}
+		var page booking.Page
+		err = json.Unmarshal(data, &page)
+		if err != nil {
+			return fmt.Errorf("%w: %w", errBooking, err)
+		}
+		for _, item := range page.Items {
+			fmt.Fprintf(out, "team=%s service=%s/%s key=%q state=%s attempt=%s upstream=%s at=%s\n",
+				item.Team, item.Fleet, item.Service, item.Key, item.State, item.Attempt, item.Upstream,
+				item.At.Format("2006-01-02T15:04:05Z07:00"))
+		}
+		if page.Next == "" {
+			return nil
+		}
+		after = page.Next
+	}
+}
+
+// settleBooking settles one booking.
+func (o *operator) settleBooking(ctx context.Context, order booking.Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return usage(err)
+	}
+	_, err = o.bookings(ctx, http.MethodPost, "/settle", body)
+	return err
+}
+
+// bookings makes one call about bookings and returns its answer.
+func (o *operator) bookings(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	client, err := o.client()
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, method, o.server+"/v1/bookings"+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, usage(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+o.token)
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errBooking, err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errBooking, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%w: %s: %s", errBooking, response.Status, bytes.TrimSpace(data))
+	}
+	return data, nil
+}
--- a/command/root.go
+++ b/command/root.go
@@ -64,6 +64,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
 	root.AddCommand(newEntry(), newSidecar(), newStandin(), newDemo(), newKeys())
 	root.AddCommand(newApply(), newGet(), newMeasure(), newCheck(), newVersion(), newTimeline(), newLoad())
+	root.AddCommand(newBooking())
 	return root
 }
 
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -33,6 +33,8 @@
 //	     NAME SERVICE JSON           send many requests in the background
 //	unload NAME [refused]            wait for a load; all must have run, or with
 //	                                 refused some may have been refused
+//	booking listed KEY               check that a booking is listed as unsettled
+//	booking settle KEY ran|notrun    settle it by an operator's word
 //
 // The commands stop, kill and skip of testscript itself must not be used: stop
 // ends a script early, as passed.
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -41,6 +41,7 @@
 			"heal":     withSystem((*system).heal),
 			"load":     withSystem((*system).load),
 			"unload":   withSystem((*system).unload),
+			"booking":  withSystem((*system).booking),
 		},
 		RequireUniqueNames: true,
 	})
