Follow no redirect of an engine and find bookings that nobody lists

An engine that had run a call and redirected to an address that nobody listens on looked as if it had refused the connection, so that the booking would have been answered notrun and run again. The sidecar follows no redirect any more; the test failed before.

A result that comes after an operator has settled the booking is logged. Answers that wait for the table are bounded at 16 MiB a sidecar, and a stop that leaves some unwritten does not exit with 0.

--- a/booking/api.go
+++ b/booking/api.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/alexedwards/flow"
@@ -71,7 +72,7 @@
 
 // list answers a page of unsettled bookings.
 func (a *API) list(w http.ResponseWriter, r *http.Request) {
-	unsettled, next, err := a.Resolver.Recorder.List(r.Context(), r.FormValue("after"), listSize)
+	unsettled, next, err := a.unsettled(r)
 	if err != nil {
 		writeError(w, err)
 		return
@@ -95,6 +96,24 @@
 	writeJSON(w, page)
 }
 
+// unsettled returns the bookings for one answer: those listed, or with a team
+// and a service those among all its records.
+func (a *API) unsettled(r *http.Request) ([]Unsettled, string, error) {
+	after := r.FormValue("after")
+	name := r.FormValue("team")
+	if name == "" {
+		return a.Resolver.Recorder.List(r.Context(), after, listSize)
+	}
+	fleetName, service, _ := strings.Cut(r.FormValue("service"), "/")
+	return a.Resolver.Recorder.Scan(r.Context(), Key{
+		Team: foxtailstack.TeamName(name),
+		Service: fleet.ServiceID{
+			Fleet:   foxtailstack.FleetName(fleetName),
+			Service: foxtailstack.ServiceName(service),
+		},
+	}, after, listSize)
+}
+
 // settle records an operator's word, after the sidecar has been asked.
 func (a *API) settle(w http.ResponseWriter, r *http.Request) {
 	var order Order
--- a/booking/flusher.go
+++ b/booking/flusher.go
@@ -17,6 +17,9 @@
 	// firstRetry and lastRetry bound the time between two writes.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 5 * time.Second
+	// maxPending is the size of the answers waiting for the table, in bytes,
+	// above which no further attempt may start.
+	maxPending = 16 << 20
 )
 
 // Metrics of the outcomes that sidecars record.
@@ -43,9 +46,13 @@
 type Flusher struct {
 	Recorder Recorder
 	Ledger   *Ledger
+	// Superseded, if set, is told of a result that the record cannot take any
+	// more, because an operator has settled the booking otherwise.
+	Superseded func(result Result)
 
 	mu      sync.Mutex
 	pending map[foxtailstack.AttemptID]Key
+	size    int // of the pending answers in bytes
 	idle    chan struct{}
 	closed  chan struct{}
 }
@@ -67,13 +74,22 @@
 		f.idle = make(chan struct{})
 	}
 	f.pending[attempt] = result.Key
+	f.size += len(result.Answer.Body)
 	go func() {
 		written <- f.run(result)
-		f.remove(attempt)
+		f.remove(result)
 	}()
 	return written
 }
 
+// Full reports whether the results that wait for the table take up so much
+// memory that no further attempt may start.
+func (f *Flusher) Full() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.size > maxPending
+}
+
 // Wait waits until all results are written or ctx ends, and returns the keys of
 // those that are not.
 func (f *Flusher) Wait(ctx context.Context) []Key {
@@ -113,11 +129,12 @@
 	close(f.idle)
 }
 
-// remove ends the accounting of an attempt.
-func (f *Flusher) remove(attempt foxtailstack.AttemptID) {
+// remove ends the accounting of a result.
+func (f *Flusher) remove(result Result) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.pending, attempt)
+	delete(f.pending, result.Claim.Attempt)
+	f.size -= len(result.Answer.Body)
 	if len(f.pending) == 0 {
 		close(f.idle)
 	}
@@ -135,6 +152,9 @@
 			continue
 		case errors.Is(err, ErrClaimed):
 			supersededTotal.Inc()
+			if f.Superseded != nil {
+				f.Superseded(result)
+			}
 		case err != nil:
 			retryTotal.Inc()
 			if !f.sleep(delay + rand.N(delay)) {
--- a/booking/history_test.go
+++ b/booking/history_test.go
@@ -274,3 +274,41 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestCost checks what a booking and its repeat cost the table.
+func TestCost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var clock atomic.Int64
+		h := &history{
+			world:    newWorld(t, func() int64 { return clock.Add(1) }, "blenders"),
+			refused:  map[string]string{},
+			outcomes: map[string]int{},
+		}
+		type cost struct{ Reads, Writes int }
+		var got []cost
+		before := cost{}
+		for range 2 {
+			h.book(h.entryAt(0), "blenders/k", "body")
+			time.Sleep(time.Minute)
+			reads, writes := h.count()
+			got = append(got, cost{
+				Reads:  reads - before.Reads,
+				Writes: writes - before.Writes,
+			})
+			before = cost{
+				Reads:  reads,
+				Writes: writes,
+			}
+		}
+		want := []cost{
+			{
+				Reads:  1,
+				Writes: 2,
+			},
+			{Reads: 1},
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("cost of a booking and its repeat differs (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/booking/index.go
+++ b/booking/index.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"time"
@@ -142,3 +143,40 @@
 		_ = r.Table.Commit(ctx, write)
 	}
 }
+
+// Scan returns the unsettled bookings among at most n records of a team at a
+// service after a position, and the position of the last record; it is empty at
+// the end. Unlike List it finds also a booking that nobody was left to list,
+// because its entry and its sidecar died together; it reads all records.
+func (r Recorder) Scan(ctx context.Context, of Key, after string, n int) ([]Unsettled, string, error) {
+	rows, err := r.Table.Range(ctx, of.row().Partition, after, n)
+	if err != nil {
+		return nil, "", fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	var unsettled []Unsettled
+	next := ""
+	for _, row := range rows {
+		next = row.Key.Sort
+		record, err := decodeRecord(row)
+		if err != nil {
+			return nil, "", err
+		}
+		idempotency, err := hex.DecodeString(row.Key.Sort)
+		if err != nil {
+			return nil, "", fmt.Errorf("record %q: %w", row.Key.Sort, err)
+		}
+		if record.State != Claimed && record.State != Lost {
+			continue
+		}
+		found := of
+		found.Idempotency = string(idempotency)
+		unsettled = append(unsettled, Unsettled{
+			Key:    found,
+			Record: record,
+		})
+	}
+	if len(rows) < n {
+		next = ""
+	}
+	return unsettled, next, nil
+}
--- a/booking/ledger.go
+++ b/booking/ledger.go
@@ -8,8 +8,7 @@
 	"github.com/foxtailstack/foxtailstack"
 )
 
-// maxAttempts is the highest number of attempts in a Ledger. It bounds the
-// answers that wait in memory while the table is down.
+// maxAttempts is the highest number of attempts in a Ledger.
 const maxAttempts = 1024
 
 // Ledger lets each attempt start at most once in one incarnation of a sidecar.
--- a/booking/recorder.go
+++ b/booking/recorder.go
@@ -30,13 +30,19 @@
 	if err != nil {
 		return Record{}, false, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
+	record, err := decodeRecord(row)
+	return record, err == nil, err
+}
+
+// decodeRecord returns the record in a row.
+func decodeRecord(row foxtailstack.Row) (Record, error) {
 	record := Record{}
-	err = wire.Unmarshal(row.Value, &record)
+	err := wire.Unmarshal(row.Value, &record)
 	if err != nil {
-		return Record{}, false, fmt.Errorf("%w: record: %w", ErrUnsettled, err)
+		return Record{}, fmt.Errorf("%w: record: %w", ErrUnsettled, err)
 	}
 	record.Version = row.Version
-	return record, true, nil
+	return record, nil
 }
 
 // Claim claims key for an attempt in place of the record of version expect;
--- a/booking/recorder_test.go
+++ b/booking/recorder_test.go
@@ -147,6 +147,13 @@
 			if diff := cmp.Diff(test.want == Lost, len(listed) == 1); diff != "" {
 				t.Errorf("place in the list differs (-want +got):\n%s", diff)
 			}
+			scanned, _, err := recorder.Scan(ctx, key, "", 10)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(test.want == Lost || test.want == Claimed, len(scanned) == 1); diff != "" {
+				t.Errorf("place in the scan differs (-want +got):\n%s", diff)
+			}
 		})
 	}
 }
--- a/booking/world_test.go
+++ b/booking/world_test.go
@@ -146,6 +146,7 @@
 	runs     []run
 	sidecars map[foxtailstack.Address]*sidecar
 	entries  []*host
+	tables   []*hostTable
 }
 
 // sidecar is one incarnation of a sidecar.
@@ -201,11 +202,27 @@
 
 // table returns the table as a host reaches it.
 func (w *world) table(h *host) *hostTable {
-	return &hostTable{
+	t := &hostTable{
 		FaultyTable: &standin.FaultyTable{Table: &w.memory},
 		host:        h,
 		world:       w,
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tables = append(w.tables, t)
+	return t
+}
+
+// count returns how many rows have been read and written.
+func (w *world) count() (reads, writes int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range w.tables {
+		r, n := t.Count()
+		reads += r
+		writes += n
+	}
+	return reads, writes
 }
 
 // rate returns the chance of a failure at each step.
--- a/command/booking.go
+++ b/command/booking.go
@@ -32,16 +32,28 @@
 // newBookingList returns the command that shows unsettled bookings.
 func newBookingList() *cobra.Command {
 	var o operator
+	var team, service string
 	cmd := &cobra.Command{
-		Use:     "list",
-		Short:   "Show the bookings whose outcome is unknown, one a line",
+		Use:   "list",
+		Short: "Show the bookings whose outcome is unknown, one a line",
+		Long: `Show the bookings whose outcome is unknown, one a line.
+
+With a team and a service all their records are read. That finds also a booking
+whose entry and sidecar died together, and those that run at the moment.`,
 		Example: "  foxtailstack booking list --server https://127.0.0.1:8443",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return o.listBookings(cmd.Context(), cmd.OutOrStdout())
+			query := url.Values{
+				"team":    {team},
+				"service": {service},
+			}
+			return o.listBookings(cmd.Context(), query, cmd.OutOrStdout())
 		},
 	}
 	o.flags(cmd)
+	cmd.Flags().StringVar(&team, "team", "", "team whose records are read")
+	cmd.Flags().StringVar(&service, "service", "", "service whose records are read, as FLEET/SERVICE")
+	cmd.MarkFlagsRequiredTogether("team", "service")
 	return cmd
 }
 
@@ -76,10 +88,9 @@
 }
 
 // listBookings writes all unsettled bookings.
-func (o *operator) listBookings(ctx context.Context, out io.Writer) error {
-	after := ""
+func (o *operator) listBookings(ctx context.Context, query url.Values, out io.Writer) error {
 	for {
-		data, err := o.bookings(ctx, http.MethodGet, "?after="+url.QueryEscape(after), nil)
+		data, err := o.bookings(ctx, http.MethodGet, "?"+query.Encode(), nil)
 		if err != nil {
 			return err
 		}
@@ -96,7 +107,7 @@
 		if page.Next == "" {
 			return nil
 		}
-		after = page.Next
+		query.Set("after", page.Next)
 	}
 }
 
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -46,8 +46,9 @@
 		return s.replica.Snapshot().Teams[name].Weight
 	})
 	s.flusher = &booking.Flusher{
-		Recorder: s.recorder(),
-		Ledger:   s.server.Ledger,
+		Recorder:   s.recorder(),
+		Ledger:     s.server.Ledger,
+		Superseded: s.logSuperseded,
 	}
 	s.server.Flusher = s.flusher
 	s.mux.Handle(upstream.StreamAttempt, s.server.ServeAttempt)
@@ -86,6 +87,7 @@
 	case <-ctx.Done():
 	}
 	err := s.drain()
+	s.flusher.Close()
 	cancel()
 	err = errors.Join(err, <-served)
 	s.client.Close()
@@ -94,6 +96,16 @@
 	return err
 }
 
+// logSuperseded logs a result that contradicts what an operator has settled.
+func (s *Sidecar) logSuperseded(result booking.Result) {
+	s.log.Error("booking was settled before its result came",
+		zap.String("team", string(result.Key.Team)),
+		zap.Stringer("service", result.Key.Service),
+		zap.String("key", result.Key.Idempotency),
+		zap.Stringer("attempt", result.Claim.Attempt),
+		zap.Bool("ran", !result.Failed))
+}
+
 // drain refuses new attempts and waits until those in progress have ended and
 // the entries have taken their answers.
 func (s *Sidecar) drain() error {
@@ -106,12 +118,16 @@
 	case <-ctx.Done():
 		return ErrGrace
 	}
-	for _, key := range s.flusher.Wait(ctx) {
+	unwritten := s.flusher.Wait(ctx)
+	for _, key := range unwritten {
 		s.log.Error("booking has no record",
 			zap.String("team", string(key.Team)),
 			zap.Stringer("service", key.Service),
 			zap.String("key", key.Idempotency))
 	}
+	if len(unwritten) > 0 {
+		return ErrGrace
+	}
 	<-lingered
 	err := s.mux.Drain(ctx, upstream.StreamAttempt, booking.StreamInquiry)
 	if err != nil {
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -45,10 +45,15 @@
 // NewHTTPEngine returns the engine at a URL.
 func NewHTTPEngine(address string) *HTTPEngine {
 	return &HTTPEngine{
-		client: &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: maxConns,
-			DisableCompression:  true,
-		}},
+		client: &http.Client{
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: maxConns,
+				DisableCompression:  true,
+			},
+			// A failure to follow a redirect would look as if the engine had
+			// seen nothing of the call.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
 		base: address,
 	}
 }
--- /dev/null
+++ b/upstream/redirect_test.go
@@ -0,0 +1,37 @@
+package upstream_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/upstream"
+)
+
+// An engine that has taken a call and redirects to an address that nobody
+// listens on has not refused the call.
+func TestRedirectIsNoRefusal(t *testing.T) {
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	calls := 0
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls++
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		http.Redirect(w, r, gone.URL, http.StatusSeeOther)
+	}))
+	defer engine.Close()
+	answer, err := upstream.NewHTTPEngine(engine.URL).Run(context.Background(), foxtailstack.EngineCall{
+		Path: "/orders",
+		Body: []byte("order"),
+	})
+	if calls != 1 || errors.Is(err, foxtailstack.ErrEngineRefused) {
+		t.Fatalf("got %d calls and error %v", calls, err)
+	}
+	defer answer.Body.Close()
+	if answer.Status != http.StatusSeeOther {
+		t.Errorf("got status %d", answer.Status)
+	}
+}
--- a/upstream/reserve.go
+++ b/upstream/reserve.go
@@ -28,6 +28,10 @@
 // engine has seen nothing of the attempt and never will.
 func (a *attempt) reserve() bool {
 	ledger := a.server.Ledger
+	if a.server.Flusher.Full() {
+		a.refuse(ReasonFull)
+		return false
+	}
 	err := ledger.Reserve(a.id, reservation)
 	if errors.Is(err, booking.ErrFull) {
 		a.refuse(ReasonFull)
