--- a/command/root.go
+++ b/command/root.go
@@ -50,7 +50,7 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
 	root.AddCommand(newEntry(), newSidecar(), newStandin(), newDemo(), newKeys())
-	root.AddCommand(newApply(), newGet(), newMeasure())
+	root.AddCommand(newApply(), newGet(), newDelete(), newWatch(), newMeasure())
 	return root
 }
 
--- a/fleet/api.go
+++ b/fleet/api.go
@@ -1,103 +1,213 @@
 package fleet
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"errors"
-	"io"
+	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/alexedwards/flow"
 	"github.com/foxtailstack/foxtailstack"
 )
 
-// maxSpec is the length of the longest spec in bytes.
-const maxSpec = 256 << 10
+const (
+	// defaultLimit and maxLimit bound the resources in one answer.
+	defaultLimit = 100
+	maxLimit     = 500
+)
+
+// Paths of the resource API.
+const (
+	PathConfig = "/v1/config/"
+	PathWatch  = "/v1/watch"
+	PathState  = "/v1/state"
+)
 
 // API is the resource API.
 type API struct {
 	Store   Store
 	Replica *Replica
+	// Status returns how far a revision has spread.
+	Status func(foxtailstack.Revision) Status
+	// Ready reports whether the process has a configuration; nil means always.
+	Ready func() bool
+	// Hash is the SHA-256 hash of the token of the first admin in hexadecimal;
+	// empty means that there is none.
+	Hash string
+	// Open lets everyone in as an admin.
+	Open bool
+
+	mu     sync.Mutex
+	done   chan struct{}
+	closed bool
+}
+
+// State is what has become of a resource or of a revision.
+type State struct {
+	// Revision is the revision in force in the process that answers.
+	Revision foxtailstack.Revision `json:"revision"`
+	// InForce of Total processes have the revision asked for or a later one.
+	InForce int `json:"inforce"`
+	Total   int `json:"total"`
+}
+
+// View is a resource as the API shows it.
+type View struct {
+	Resource
+	State State `json:"state"`
+}
+
+// Page is a part of a list of resources.
+type Page struct {
+	Items []View `json:"items"`
+	// Continue asks for the next part; empty after the last one.
+	Continue string                `json:"continue,omitempty"`
+	Revision foxtailstack.Revision `json:"revision"`
 }
 
 // Routes adds the routes of the resource API to mux.
 func (a *API) Routes(mux *flow.Mux) {
-	mux.HandleFunc("/v1/config/:kind", a.list, http.MethodGet)
-	mux.HandleFunc("/v1/config/:kind/...", a.get, http.MethodGet)
-	mux.HandleFunc("/v1/config/:kind/...", a.put, http.MethodPut)
-	mux.HandleFunc("/v1/config/:kind/...", a.remove, http.MethodDelete)
+	mux.HandleFunc(PathWatch, a.watch, http.MethodGet)
+	mux.HandleFunc(PathState, a.spread, http.MethodGet)
+	mux.HandleFunc(PathConfig+":kind", a.list, http.MethodGet)
+	mux.HandleFunc(PathConfig+":kind/...", a.get, http.MethodGet)
+	mux.HandleFunc(PathConfig+":kind/...", a.put, http.MethodPut)
+	mux.HandleFunc(PathConfig+":kind/...", a.patch, http.MethodPatch)
+	mux.HandleFunc(PathConfig+":kind/...", a.remove, http.MethodDelete)
+	mux.HandleFunc(PathConfig+"...", func(w http.ResponseWriter, _ *http.Request) { writeError(w, ErrMethod) })
+	mux.HandleFunc(PathWatch, func(w http.ResponseWriter, _ *http.Request) { writeError(w, ErrMethod) })
 }
 
-// list answers all resources of a kind.
-func (a *API) list(w http.ResponseWriter, r *http.Request) {
-	kind := Kind(r.PathValue("kind"))
-	resources := []Resource{}
-	for id, resource := range a.Replica.Snapshot().Resources {
-		if id.Kind == kind && !resource.Deleted {
-			resources = append(resources, resource)
-		}
+// Close ends all watches.
+func (a *API) Close() {
+	done := a.ended()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.closed {
+		a.closed = true
+		close(done)
 	}
-	writeJSON(w, http.StatusOK, resources)
 }
 
-// get answers one resource.
-func (a *API) get(w http.ResponseWriter, r *http.Request) {
-	resource, err := a.Store.Get(r.Context(), idOf(r))
+// ended returns a channel that Close closes.
+func (a *API) ended() chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.done == nil {
+		a.done = make(chan struct{})
+	}
+	return a.done
+}
+
+// list answers the resources of a kind, in the order of their names.
+func (a *API) list(w http.ResponseWriter, r *http.Request) {
+	who, err := a.identify(r)
 	if err != nil {
 		writeError(w, err)
 		return
 	}
-	writeResource(w, resource)
+	kind := Kind(r.PathValue("kind"))
+	limit, last, err := paging(r)
+	if err == nil && nameParts[kind] == 0 {
+		err = fmt.Errorf("%w: unknown kind %q", ErrNotFound, kind)
+	}
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	snapshot := a.Replica.Snapshot()
+	var found []Resource
+	for id, resource := range snapshot.Resources {
+		if id.Kind == kind && id.Name > last && !resource.Deleted && who.mayRead(id) {
+			found = append(found, resource)
+		}
+	}
+	slices.SortFunc(found, func(a, b Resource) int { return strings.Compare(a.Name, b.Name) })
+	page := Page{
+		Items:    []View{},
+		Revision: snapshot.Revision,
+	}
+	if len(found) > limit {
+		found = found[:limit]
+		page.Continue = base64.RawURLEncoding.EncodeToString([]byte(found[limit-1].Name))
+	}
+	for _, resource := range found {
+		page.Items = append(page.Items, a.view(resource))
+	}
+	writeJSON(w, http.StatusOK, page)
 }
 
-// put creates or replaces a resource.
-func (a *API) put(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxSpec))
+// paging returns the limit and the last name before the part that r asks for.
+func paging(r *http.Request) (limit int, last string, err error) {
+	limit = defaultLimit
+	query := r.URL.Query()
+	if text := query.Get("limit"); text != "" {
+		limit, err = strconv.Atoi(text)
+		if err != nil || limit < 1 || limit > maxLimit {
+			return 0, "", fmt.Errorf("%w: limit %q is not in 1 to %d", ErrInvalid, text, maxLimit)
+		}
+	}
+	name, err := base64.RawURLEncoding.DecodeString(query.Get("continue"))
 	if err != nil {
-		writeError(w, ErrInvalid)
-		return
+		return 0, "", fmt.Errorf("%w: continue %q is not a token of this API", ErrInvalid, query.Get("continue"))
 	}
+	return limit, string(name), nil
+}
+
+// get answers one resource. While the table is down it answers what is in force
+// in this process.
+func (a *API) get(w http.ResponseWriter, r *http.Request) {
+	who, err := a.identify(r)
 	id := idOf(r)
-	err = id.Check()
 	if err == nil {
-		_, err = DecodeSpec(id.Kind, data)
+		err = id.Check()
+	}
+	if err == nil && !who.mayRead(id) {
+		err = fmt.Errorf("%w: team of others", ErrForbidden)
+	}
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	resource, err := a.Store.Get(r.Context(), id)
+	if errors.Is(err, ErrUnavailable) && a.Replica.Snapshot().Revision > 0 {
+		resource, err = a.inForce(id)
 	}
 	if err != nil {
 		writeError(w, err)
 		return
 	}
-	a.commit(w, r, Proposal{
-		ID:   id,
-		Spec: data,
-	})
+	a.writeResource(w, http.StatusOK, resource)
 }
 
-// remove deletes a resource.
-func (a *API) remove(w http.ResponseWriter, r *http.Request) {
-	a.commit(w, r, Proposal{
-		ID:     idOf(r),
-		Delete: true,
-	})
+// inForce returns a resource as it is in force, or ErrNotFound.
+func (a *API) inForce(id ID) (Resource, error) {
+	resource, ok := a.Replica.Snapshot().Resources[id]
+	if !ok || resource.Deleted {
+		return Resource{}, ErrNotFound
+	}
+	return resource, nil
 }
 
-// commit commits a proposal with the version that If-Match names.
-func (a *API) commit(w http.ResponseWriter, r *http.Request, proposal Proposal) {
-	proposal.ChangeID = foxtailstack.NewChangeID()
-	if match := strings.Trim(r.Header.Get("If-Match"), `"`); match != "" {
-		n, err := strconv.ParseUint(match, 10, 64)
-		if err != nil {
-			writeError(w, ErrInvalid)
-			return
-		}
-		proposal.Expect = foxtailstack.Version(n)
-	}
-	change, err := a.Store.Commit(r.Context(), proposal)
+// spread answers how far the revision in the query has spread.
+func (a *API) spread(w http.ResponseWriter, r *http.Request) {
+	_, err := a.identify(r)
 	if err != nil {
 		writeError(w, err)
 		return
 	}
-	writeResource(w, change.Resource)
+	text := r.URL.Query().Get("revision")
+	revision, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		writeError(w, fmt.Errorf("%w: revision %q is not a number", ErrInvalid, text))
+		return
+	}
+	writeJSON(w, http.StatusOK, a.state(foxtailstack.Revision(revision)))
 }
 
 // idOf returns the ID in the path of a request.
@@ -108,33 +218,34 @@
 	}
 }
 
-// writeResource answers a resource with its version as ETag.
-func writeResource(w http.ResponseWriter, resource Resource) {
-	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(uint64(resource.Version), 10)))
-	writeJSON(w, http.StatusOK, resource)
+// state returns how far a revision has spread.
+func (a *API) state(revision foxtailstack.Revision) State {
+	state := State{Revision: a.Replica.Snapshot().Revision}
+	if a.Status != nil {
+		status := a.Status(revision)
+		state.InForce = status.InForce
+		state.Total = status.Total
+	}
+	return state
 }
 
-// writeError answers the problem that stands for err.
-func writeError(w http.ResponseWriter, err error) {
-	status := http.StatusInternalServerError
-	switch {
-	case errors.Is(err, ErrInvalid):
-		status = http.StatusBadRequest
-	case errors.Is(err, ErrNotFound):
-		status = http.StatusNotFound
-	case errors.Is(err, ErrStale):
-		status = http.StatusPreconditionFailed
-	case errors.Is(err, ErrUnavailable), errors.Is(err, foxtailstack.ErrUnavailable):
-		status = http.StatusServiceUnavailable
-	case errors.Is(err, ErrUncertain):
-		status = http.StatusGatewayTimeout
+// view returns a resource with its state.
+func (a *API) view(resource Resource) View {
+	return View{
+		Resource: resource,
+		State:    a.state(resource.Revision),
 	}
-	http.Error(w, err.Error(), status)
+}
+
+// writeResource answers a resource with its version as ETag.
+func (a *API) writeResource(w http.ResponseWriter, status int, resource Resource) {
+	w.Header().Set("ETag", etag(resource.Version))
+	writeJSON(w, status, a.view(resource))
 }
 
 // writeJSON answers v.
 func writeJSON(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Type", contentJSON)
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v) // the operator may be gone
 }
--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -113,6 +113,29 @@
 	return change, err
 }
 
+// Check returns the resource as it would be after a proposal, or the error that
+// Commit would return. It changes nothing.
+func (s Store) Check(ctx context.Context, proposal Proposal) (Resource, error) {
+	current, err := s.Get(ctx, proposal.ID)
+	if err != nil && !errors.Is(err, ErrNotFound) {
+		return Resource{}, err
+	}
+	c := commit{
+		store:    s,
+		proposal: proposal,
+	}
+	err = c.check(ctx, current)
+	if err != nil {
+		return Resource{}, err
+	}
+	return Resource{
+		ID:      proposal.ID,
+		Version: current.Version + 1,
+		Deleted: proposal.Delete,
+		Spec:    proposal.Spec,
+	}, nil
+}
+
 // check returns an error if the proposal does not fit what is committed.
 func (c *commit) check(ctx context.Context, current Resource) error {
 	shown := visible(current)
--- a/fleet/spec.go
+++ b/fleet/spec.go
@@ -219,15 +219,16 @@
 
 // decodeSpec decodes and checks a spec of type S.
 func decodeSpec[S Spec](data []byte) (Spec, error) {
+	err := checkDocument(data)
+	if err != nil {
+		return nil, err
+	}
 	var spec S
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
-	err := decoder.Decode(&spec)
+	err = decoder.Decode(&spec)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	if decoder.More() {
-		return nil, fmt.Errorf("%w: data behind the spec", ErrInvalid)
-	}
 	return spec, spec.Check()
 }
--- a/node/entry.go
+++ b/node/entry.go
@@ -19,10 +19,11 @@
 // Entry is an entry process.
 type Entry struct {
 	*base
-	replica  *fleet.Replica
-	spreader *fleet.Spreader
-	listener net.Listener
-	handler  *flow.Mux
+	replica   *fleet.Replica
+	spreader  *fleet.Spreader
+	operators *fleet.API
+	listener  net.Listener
+	handler   *flow.Mux
 }
 
 // NewEntry binds the addresses of an entry.
@@ -50,11 +51,8 @@
 		Limiter:  &team.Limiter{},
 	}
 	callers.Routes(e.handler)
-	operators := &fleet.API{
-		Store:   fleet.Store{Table: e.table},
-		Replica: e.replica,
-	}
-	operators.Routes(e.handler)
+	e.operators = e.newAPI()
+	e.operators.Routes(e.handler)
 	return e, nil
 }
 
@@ -74,6 +72,7 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	go e.spreader.Run(background)
+	defer context.AfterFunc(ctx, e.operators.Close)()
 	go func() { _ = e.mux.Serve(background) }()
 	err := serveHTTP(ctx, e.listener, e.handler, e.grace())
 	e.client.Close()
--- a/scenario/caller_test.go
+++ b/scenario/caller_test.go
@@ -66,7 +66,7 @@
 		return err
 	}
 	out, err := exec.Command("foxtailstack", "apply", "-f", path, "--server", s.processes[server].url,
-		"--authority", filepath.Join(s.dir, "keys", "authority.pem")).CombinedOutput()
+		"--authority", filepath.Join(s.dir, "keys", "authority.pem"), "--token", operatorToken).CombinedOutput()
 	ts.Logf("%s", out)
 	time.Sleep(time.Second)
 	return err
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -22,6 +22,10 @@
 //	slow DURATION                    delay all operations of the table
 //	lose N                           lose the answers of the next N commits
 //	faults ENGINE JSON               set the faults of an engine
+//	list NAME...                     replace the list of instances
+//	operate [-bg NAME] ENTRY COMMAND...
+//	                                 run a command of an operator; its answer has
+//	                                 the exit code as status and what it wrote as body
 //
 // Every process that a script starts ends with the script.
 package scenario
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/foxtailstack/foxtailstack/team"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -25,6 +26,9 @@
 	poll = 10 * time.Millisecond
 )
 
+// operatorToken is the token of the first admin.
+const operatorToken = "operator-token"
+
 var errUsage = errors.New("wrong arguments")
 
 // process is one process of the binary.
@@ -102,7 +106,10 @@
 		return s.launch(args[1], peers, "", "sidecar", "--settings", path)
 	case args[0] == "entry" && len(args) == 2:
 		callers := freeAddress()
-		path, err := s.writeSettings(args[1], fmt.Sprintf("[listen]\ncallers = %q\npeers = %q\n", callers, s.peerAddress(args[1])))
+		path, err := s.writeSettings(args[1], fmt.Sprintf(
+			"[listen]\ncallers = %q\npeers = %q\n[operators]\nhash = %q\n",
+			callers, s.peerAddress(args[1]), team.Hash(operatorToken),
+		))
 		if err != nil {
 			return err
 		}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,12 +16,19 @@
 	Centre foxtailstack.DataCentre   `toml:"centre"`
 	Region foxtailstack.Region       `toml:"region"`
 	// Grace is the time for requests in progress after a request to stop.
-	Grace    Duration `toml:"grace"`
-	Listen   Listen   `toml:"listen"`
-	Platform Platform `toml:"platform"`
-	TLS      TLS      `toml:"tls"`
-	Upstream Upstream `toml:"upstream"`
-	Log      Log      `toml:"log"`
+	Grace     Duration  `toml:"grace"`
+	Listen    Listen    `toml:"listen"`
+	Platform  Platform  `toml:"platform"`
+	TLS       TLS       `toml:"tls"`
+	Upstream  Upstream  `toml:"upstream"`
+	Operators Operators `toml:"operators"`
+	Log       Log       `toml:"log"`
+}
+
+// Operators holds who may use the resource API before there is any team.
+type Operators struct {
+	// Hash is the SHA-256 hash of an admin's token in hexadecimal.
+	Hash string `toml:"hash"`
 }
 
 // Listen holds the addresses that a process listens on.
