--- a/command/apply.go
+++ b/command/apply.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"sort"
 	"time"
 
@@ -31,6 +32,8 @@
 	dry     bool
 	wait    bool
 	timeout time.Duration
+	// made are the resources that a dry run would have made.
+	made []fleet.ID
 }
 
 // flags adds the flags of the options to cmd.
@@ -42,10 +45,15 @@
 
 // query returns the query of a write.
 func (a *applyOptions) query() string {
-	if a.dry {
-		return "?dryrun=true"
+	if !a.dry {
+		return ""
 	}
-	return ""
+	query := url.Values{}
+	query.Set("dryrun", "true")
+	for _, id := range a.made {
+		query.Add("assume", id.String())
+	}
+	return "?" + query.Encode()
 }
 
 // newApply returns the command that declares resources.
@@ -67,6 +75,7 @@
 		},
 	}
 	o.flags(cmd)
+	o.outputFlag(cmd)
 	options.flags(cmd)
 	cmd.Flags().StringVarP(&file, "file", "f", "", "file of resources")
 	return cmd
@@ -93,6 +102,9 @@
 			if view.Revision > last.Revision {
 				last = view
 			}
+			if options.dry && kind != fleet.KindUpstream {
+				options.made = append(options.made, id)
+			}
 			err = o.showWrite(out, view, done)
 			if err != nil {
 				return err
@@ -124,7 +136,7 @@
 	spec any,
 	options applyOptions,
 ) (view fleet.View, done string, err error) {
-	current, err := o.get(ctx, id.String())
+	current, err := o.resource(ctx, id.String())
 	if err != nil && !errors.Is(err, fleet.ErrNotFound) {
 		return view, "", err
 	}
--- a/command/delete.go
+++ b/command/delete.go
@@ -29,6 +29,7 @@
 		},
 	}
 	o.flags(cmd)
+	o.outputFlag(cmd)
 	options.flags(cmd)
 	cmd.Flags().Uint64Var(&version, "version", 0, "version to delete; zero means the present one")
 	return cmd
@@ -43,7 +44,7 @@
 	out io.Writer,
 ) error {
 	if version == 0 {
-		current, err := o.get(ctx, path)
+		current, err := o.resource(ctx, path)
 		if err != nil {
 			return err
 		}
--- a/command/get.go
+++ b/command/get.go
@@ -35,13 +35,14 @@
 		},
 	}
 	o.flags(cmd)
+	o.outputFlag(cmd)
 	return cmd
 }
 
 // find returns the resource under a path, or all of a kind.
 func (o *operator) find(ctx context.Context, path string) ([]fleet.View, error) {
 	if strings.Contains(path, "/") {
-		view, err := o.get(ctx, path)
+		view, err := o.resource(ctx, path)
 		return []fleet.View{view}, err
 	}
 	var views []fleet.View
--- a/command/operator.go
+++ b/command/operator.go
@@ -68,12 +68,16 @@
 	key string
 }
 
-// flags adds the flags that locate the API and choose the output to cmd.
+// flags adds the flags that locate the API to cmd.
 func (o *operator) flags(cmd *cobra.Command) {
 	cmd.Flags().StringVar(&o.server, "server", "https://127.0.0.1:8443", "URL of an entry")
 	cmd.Flags().StringVar(&o.token, "token", os.Getenv("FOXTAILSTACK_TOKEN"), "operator's token")
 	cmd.Flags().StringVar(&o.authority, "authority", "", "file with the certificate of the authority")
-	cmd.Flags().StringVarP(&o.output, "output", "o", "table", "form of the output: table or json")
+}
+
+// outputFlag adds the flag that chooses the output to cmd.
+func (o *operator) outputFlag(cmd *cobra.Command) {
+	cmd.Flags().StringVarP(&o.output, "output", "o", "table", "table or json")
 }
 
 // json reports whether the output is one JSON object a line.
@@ -92,7 +96,7 @@
 // call makes one call and decodes its answer into answer. Writes whose outcome
 // is not known are repeated under the same idempotency key.
 func (o *operator) call(ctx context.Context, c call, answer any) error {
-	client, err := o.client(operatorTimeout)
+	client, err := o.client()
 	if err != nil {
 		return err
 	}
@@ -168,9 +172,9 @@
 	return e
 }
 
-// client returns a client that trusts the authority. Zero means no timeout.
-func (o *operator) client(timeout time.Duration) (*http.Client, error) {
-	client := &http.Client{Timeout: timeout}
+// client returns a client that trusts the authority.
+func (o *operator) client() (*http.Client, error) {
+	client := &http.Client{Timeout: operatorTimeout}
 	if o.authority == "" {
 		return client, nil
 	}
@@ -189,8 +193,8 @@
 	return client, nil
 }
 
-// get returns one resource, or an error that wraps fleet.ErrNotFound.
-func (o *operator) get(ctx context.Context, path string) (fleet.View, error) {
+// resource returns one resource, or an error that wraps fleet.ErrNotFound.
+func (o *operator) resource(ctx context.Context, path string) (fleet.View, error) {
 	var view fleet.View
 	err := o.call(ctx, call{
 		method: http.MethodGet,
--- a/command/watch.go
+++ b/command/watch.go
@@ -53,6 +53,7 @@
 		},
 	}
 	w.flags(cmd)
+	w.outputFlag(cmd)
 	cmd.Flags().StringVar(&w.kind, "kind", "", "kind of resources to show; empty means all")
 	cmd.Flags().StringVar(&w.last, "from", "", "revision to begin behind; empty means the present one")
 	cmd.Flags().BoolVar(&w.wait, "wait", false, "end once a change has been shown and is in force everywhere")
@@ -61,10 +62,11 @@
 
 // run watches and resumes until the operator ends it or the API refuses.
 func (w *watch) run(ctx context.Context) error {
-	client, err := w.operator.client(0)
+	client, err := w.operator.client()
 	if err != nil {
 		return err
 	}
+	client.Timeout = 0
 	w.client = client
 	for {
 		err = w.follow(ctx)
--- a/fleet/access.go
+++ b/fleet/access.go
@@ -50,6 +50,23 @@
 	return principal{}, ErrUnauthorized
 }
 
+// Guard lets operators through to next: those with access to read for GET and
+// HEAD, those with access to write for all methods.
+func (a *API) Guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		who, err := a.identify(r)
+		reads := r.Method == http.MethodGet || r.Method == http.MethodHead
+		if err == nil && !reads && who.access == AccessRead {
+			err = fmt.Errorf("%w: access is %s", ErrForbidden, who.access)
+		}
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // operator returns the operator whose token has the hash. It looks at all of
 // them, whichever matches.
 func (a *API) operator(hash string) (found principal, ok bool) {
--- a/fleet/write.go
+++ b/fleet/write.go
@@ -11,6 +11,7 @@
 	"mime"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
@@ -33,6 +34,8 @@
 	headerMatch       = "If-Match"
 	headerIdempotency = "Idempotency-Key"
 	paramDryRun       = "dryrun"
+	// paramAssume names a resource that a dry run takes as present.
+	paramAssume = "assume"
 )
 
 // write is one change that an operator asks for.
@@ -169,10 +172,18 @@
 		}
 		wr.proposal.Expect = foxtailstack.Version(n)
 	}
-	switch text := wr.request.URL.Query().Get(paramDryRun); text {
+	query := wr.request.URL.Query()
+	switch text := query.Get(paramDryRun); text {
 	case "", "false":
 	case "true":
 		wr.dry = true
+		for _, path := range query[paramAssume] {
+			kind, name, _ := strings.Cut(path, "/")
+			wr.proposal.Assume = append(wr.proposal.Assume, ID{
+				Kind: Kind(kind),
+				Name: name,
+			})
+		}
 	default:
 		return fmt.Errorf("%w: dryrun %q is not true or false", ErrInvalid, text)
 	}
--- a/node/entry.go
+++ b/node/entry.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"time"
 
 	"github.com/alexedwards/flow"
 	"github.com/foxtailstack/foxtailstack"
@@ -11,6 +13,7 @@
 	"github.com/foxtailstack/foxtailstack/entry"
 	"github.com/foxtailstack/foxtailstack/fleet"
 	"github.com/foxtailstack/foxtailstack/keys"
+	"github.com/foxtailstack/foxtailstack/platform"
 	"github.com/foxtailstack/foxtailstack/settings"
 	"github.com/foxtailstack/foxtailstack/team"
 	"go.uber.org/zap"
@@ -22,8 +25,10 @@
 	replica   *fleet.Replica
 	spreader  *fleet.Spreader
 	operators *fleet.API
+	chooser   *balance.Chooser
 	listener  net.Listener
 	handler   *flow.Mux
+	callers   *entry.Server
 }
 
 // NewEntry binds the addresses of an entry.
@@ -42,17 +47,26 @@
 	if err != nil {
 		return nil, err
 	}
-	callers := &entry.Server{
+	e.chooser = &balance.Chooser{
+		Replica:   e.replica,
+		Client:    e.client,
+		Centre:    cfg.Centre,
+		Instances: listOf(cfg),
+	}
+	e.callers = &entry.Server{
 		Replica:  e.replica,
 		Client:   e.client,
-		Recorder: booking.Recorder{Table: e.table},
+		Recorder: e.recorder(),
 		Ring:     e.ring,
-		Chooser:  &balance.Chooser{Replica: e.replica},
+		Chooser:  e.chooser,
 		Limiter:  &team.Limiter{},
 	}
-	callers.Routes(e.handler)
+	e.callers.Routes(e.handler)
+	e.handler.HandleFunc(pathReady, e.serveReady, http.MethodGet)
 	e.operators = e.newAPI()
 	e.operators.Routes(e.handler)
+	bookings := &booking.API{Resolver: e.callers.Resolver()}
+	bookings.Routes(e.handler, e.operators.Guard)
 	return e, nil
 }
 
@@ -73,9 +87,33 @@
 	defer cancel()
 	go e.spreader.Run(background)
 	defer context.AfterFunc(ctx, e.operators.Close)()
+	go e.serveStatus(background)
+	go e.awaitConfig(background, e.replica)
+	go e.chooser.Run(background)
 	go func() { _ = e.mux.Serve(background) }()
-	err := serveHTTP(ctx, e.listener, e.handler, e.grace())
+	err := serveHTTP(ctx, e.listener, e.handler, e.grace(), e.drain)
 	e.client.Close()
+	e.life.fire(stepStop)
 	e.log.Info("entry stopped")
 	return err
 }
+
+// drain refuses new requests and waits for those in progress.
+func (e *Entry) drain(ctx context.Context) error {
+	e.life.fire(stepDrain)
+	lingered := time.After(linger)
+	err := e.callers.Drain(ctx)
+	if err != nil {
+		return ErrGrace
+	}
+	<-lingered
+	return nil
+}
+
+// listOf returns the platform's list of instances, or nil if there is none.
+func listOf(cfg settings.Settings) foxtailstack.InstanceList {
+	if cfg.Platform.List == "" {
+		return nil
+	}
+	return platform.NewDiscovery(cfg.Platform.List)
+}
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -24,6 +24,8 @@
 	replica  *fleet.Replica
 	spreader *fleet.Spreader
 	gate     *upstream.Gate
+	server   *upstream.Server
+	flusher  *booking.Flusher
 }
 
 // NewSidecar binds the address of a sidecar.
@@ -33,19 +35,27 @@
 		replica: &fleet.Replica{},
 		gate:    upstream.NewGate(cfg.Upstream.Slots),
 	}
-	server := &upstream.Server{
+	s.server = &upstream.Server{
 		Upstream:    cfg.Upstream.Name,
 		Incarnation: foxtailstack.NewIncarnation(),
 		Engine:      upstream.NewHTTPEngine(cfg.Upstream.Engine),
 		Gate:        s.gate,
 		Ledger:      &booking.Ledger{},
-		Recorder:    booking.Recorder{Table: s.table},
 		Ring:        s.ring,
 	}
-	s.mux.Handle(upstream.StreamAttempt, server.ServeAttempt)
+	s.gate.SetWeight(func(name foxtailstack.TeamName) float64 {
+		return s.replica.Snapshot().Teams[name].Weight
+	})
+	s.flusher = &booking.Flusher{
+		Recorder: s.recorder(),
+		Ledger:   s.server.Ledger,
+	}
+	s.server.Flusher = s.flusher
+	s.mux.Handle(upstream.StreamAttempt, s.server.ServeAttempt)
+	s.mux.Handle(upstream.StreamProbe, s.server.ServeProbe)
 	responder := booking.Responder{
-		Incarnation: server.Incarnation,
-		Ledger:      server.Ledger,
+		Incarnation: s.server.Incarnation,
+		Ledger:      s.server.Ledger,
 	}
 	s.spreader = s.newSpreader(foxtailstack.RoleSidecar, s.replica)
 	s.mux.Handle(booking.StreamInquiry, responder.ServeInquiry)
@@ -63,7 +73,9 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	go s.spreader.Run(background)
+	go s.serveStatus(background)
 	go s.follow(background)
+	go s.awaitConfig(background, s.replica)
 	served := make(chan error, 1)
 	go func() { served <- s.mux.Serve(background) }()
 	select {
@@ -71,19 +83,42 @@
 		return err
 	case <-ctx.Done():
 	}
-	select {
-	case <-s.gate.Drain():
-	case <-time.After(s.grace()):
-		return ErrGrace
-	}
+	err := s.drain()
 	cancel()
-	err := <-served
+	err = errors.Join(err, <-served)
 	s.client.Close()
+	s.life.fire(stepStop)
 	s.log.Info("sidecar stopped")
 	return err
 }
 
-// follow keeps the gate as wide as the configuration says.
+// drain refuses new attempts and waits until those in progress have ended and
+// the entries have taken their answers.
+func (s *Sidecar) drain() error {
+	s.life.fire(stepDrain)
+	lingered := time.After(linger)
+	ctx, cancel := context.WithTimeout(context.Background(), s.grace())
+	defer cancel()
+	select {
+	case <-s.gate.Drain():
+	case <-ctx.Done():
+		return ErrGrace
+	}
+	for _, key := range s.flusher.Wait(ctx) {
+		s.log.Error("booking has no record",
+			zap.String("team", string(key.Team)),
+			zap.Stringer("service", key.Service),
+			zap.String("key", key.Idempotency))
+	}
+	<-lingered
+	err := s.mux.Drain(ctx, upstream.StreamAttempt, booking.StreamInquiry)
+	if err != nil {
+		return ErrGrace
+	}
+	return nil
+}
+
+// follow keeps the gate as wide as the configuration says, and open or shut.
 func (s *Sidecar) follow(ctx context.Context) {
 	id, err := fleet.ParseUpstreamID(s.settings.Upstream.Name)
 	if err != nil {
@@ -95,6 +130,7 @@
 		member, ok := s.replica.Snapshot().Upstreams[id.ServiceID][id.Upstream]
 		if ok {
 			s.gate.Resize(member.Slots)
+			s.server.SetDrain(member.Drain)
 		}
 		select {
 		case <-ctx.Done():
--- a/node/spread.go
+++ b/node/spread.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/fleet"
-	"github.com/foxtailstack/foxtailstack/platform"
 )
 
 // newSpreader returns what keeps the configuration of a process up to date, and
@@ -21,9 +20,7 @@
 		},
 		Dialer: fleet.WireDialer{Client: b.client},
 		Log:    b.log,
-	}
-	if b.settings.Platform.List != "" {
-		spreader.List = platform.NewDiscovery(b.settings.Platform.List)
+		List:   listOf(b.settings),
 	}
 	b.mux.Handle(fleet.StreamConfig, spreader.ServeConfig)
 	b.mux.Handle(fleet.StreamSummary, spreader.ServeSummary)
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -61,7 +61,9 @@
 type system struct {
 	dir       string
 	processes map[string]*process
+	links     map[string]*link
 	answers   map[string]chan answer
+	loads     map[string]chan loadResult
 	last      answer
 }
 
@@ -74,7 +76,9 @@
 	return &system{
 		dir:       dir,
 		processes: map[string]*process{},
+		links:     map[string]*link{},
 		answers:   map[string]chan answer{},
+		loads:     map[string]chan loadResult{},
 	}, nil
 }
 
@@ -200,7 +204,7 @@
 // stop ends a process by SIGTERM and checks that it exits with 0.
 func (s *system) stop(_ *testscript.TestScript, args []string) error {
 	p, err := s.signal(args, syscall.SIGTERM)
-	if err != nil {
+	if err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return err
 	}
 	select {
@@ -212,6 +216,22 @@
 	}
 }
 
+// insist sends SIGTERM over and over until a process ends; it must exit with 0.
+func (s *system) insist(_ *testscript.TestScript, args []string) error {
+	for {
+		p, err := s.signal(args, syscall.SIGTERM)
+		if p == nil {
+			return err
+		}
+		select {
+		case err = <-p.exited:
+			p.exited <- err
+			return err
+		default:
+		}
+	}
+}
+
 // kill ends a process by SIGKILL.
 func (s *system) kill(_ *testscript.TestScript, args []string) error {
 	p, err := s.signal(args, syscall.SIGKILL)
@@ -233,6 +253,9 @@
 
 // close ends all processes.
 func (s *system) close() {
+	for _, l := range s.links {
+		l.close()
+	}
 	for _, p := range s.processes {
 		_ = p.cmd.Process.Kill()
 		<-p.exited
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -31,12 +31,14 @@
 // Stream is one exchange of messages with a peer. One goroutine may send while
 // another receives.
 type Stream struct {
-	quic   *quic.Stream
+	quic   transport
 	reader *bufio.Reader
+	// watched is closed once the peer has ended its side; nil without Watch.
+	watched chan struct{}
 }
 
-// newStream wraps a QUIC stream.
-func newStream(s *quic.Stream) *Stream {
+// newStream wraps a QUIC stream or an end of a Pipe.
+func newStream(s transport) *Stream {
 	return &Stream{
 		quic:   s,
 		reader: bufio.NewReaderSize(s, streamBuffer),
@@ -82,8 +84,26 @@
 	s.quic.CancelWrite(codeCanceled)
 }
 
-// finish ends the stream after a handler: what was sent still arrives.
+// Watch calls gone once the peer has ended its side or the connection is lost.
+// The caller must not call Receive any more.
+func (s *Stream) Watch(gone func()) {
+	s.watched = make(chan struct{})
+	go func() {
+		_, _ = io.Copy(io.Discard, s.reader) // the end is all that counts
+		gone()
+		close(s.watched)
+	}()
+}
+
+// finish ends the stream after a handler. It returns once the peer has ended
+// its side, as it does when it has taken the last message.
 func (s *Stream) finish() {
-	s.quic.CancelRead(codeCanceled)
 	_ = s.quic.Close()
+	_ = s.quic.SetReadDeadline(time.Now().Add(finishTimeout))
+	if s.watched != nil {
+		<-s.watched
+	} else {
+		_, _ = io.Copy(io.Discard, s.reader)
+	}
+	s.quic.CancelRead(codeCanceled)
 }
