--- a/balance/chooser.go
+++ b/balance/chooser.go
@@ -145,12 +145,9 @@
 	c.start()
 	c.refresh(ctx)
 	proposal := c.directory.Propose(time.Now(), q)
-	stale := proposal.Stale(time.Now(), maxAge)
-	if len(stale) > 0 {
-		settled, asked := c.probe(stale)
-		fresh := proposal.Len() - len(stale)
-		await(ctx, settled, min(enough, proposal.Len())-fresh, asked)
-	}
+	stale, needed := proposal.Stale(time.Now())
+	settled, asked := c.probe(stale)
+	await(ctx, settled, min(needed, asked))
 	return proposal.Pick(time.Now())
 }
 
@@ -205,11 +202,14 @@
 	return settled, asked
 }
 
-// await waits until n of the probes asked are settled, for a short time.
-func await(ctx context.Context, settled <-chan struct{}, n, asked int) {
+// await waits until n probes are settled, for a short time.
+func await(ctx context.Context, settled <-chan struct{}, n int) {
+	if n == 0 {
+		return
+	}
 	timer := time.NewTimer(maxAwait)
 	defer timer.Stop()
-	for range min(n, asked) {
+	for range n {
 		select {
 		case <-settled:
 		case <-timer.C:
--- a/balance/prober.go
+++ b/balance/prober.go
@@ -13,17 +13,10 @@
 )
 
 const (
-	// maxAge is the age up to which a sighting is used without a new probe.
-	maxAge = 300 * time.Millisecond
 	// maxAwait is the time that a request waits for probes at most.
 	maxAwait = 20 * time.Millisecond
 	// probeTimeout bounds one probe.
 	probeTimeout = 500 * time.Millisecond
-	// enough is the number of fresh candidates that a choice needs.
-	enough = 2
-	// probeRate and probeBurst bound the probes of an entry, a second and at once.
-	probeRate  = 24
-	probeBurst = 48
 )
 
 var (
@@ -43,12 +36,11 @@
 type prober struct {
 	leaving chan map[foxtailstack.Address]bool
 
-	mu      sync.Mutex
-	ctx     context.Context
-	client  Caller
-	open    map[fleet.UpstreamID][]func(upstream.Sighting, time.Duration, error)
-	budget  float64
-	counted time.Time
+	mu     sync.Mutex
+	ctx    context.Context
+	client Caller
+	open   map[fleet.UpstreamID][]func(upstream.Sighting, time.Duration, error)
+	budget Budget
 }
 
 // enable lets the prober send probes until ctx ends.
@@ -59,8 +51,6 @@
 	b.ctx = ctx
 	b.client = client
 	b.open = map[fleet.UpstreamID][]func(upstream.Sighting, time.Duration, error){}
-	b.budget = probeBurst
-	b.counted = time.Now()
 }
 
 // ask sends a probe to an upstream, or joins one that is under way, and calls
@@ -73,7 +63,7 @@
 		return false
 	}
 	waiting, under := b.open[target.ID]
-	if !under && !b.spend(time.Now()) {
+	if !under && !b.budget.Spend(time.Now()) {
 		probesHeld.Inc()
 		return false
 	}
@@ -84,17 +74,6 @@
 	return true
 }
 
-// spend takes one probe from the budget. The caller holds b.mu.
-func (b *prober) spend(now time.Time) bool {
-	b.budget = min(b.budget+probeRate*now.Sub(b.counted).Seconds(), probeBurst)
-	b.counted = now
-	if b.budget < 1 {
-		return false
-	}
-	b.budget--
-	return true
-}
-
 // send makes one probe and hands its result to all who wait for it.
 func (b *prober) send(target Target) {
 	ctx, cancel := context.WithTimeout(b.ctx, probeTimeout)
--- a/balance/proposal.go
+++ b/balance/proposal.go
@@ -8,6 +8,13 @@
 	"github.com/foxtailstack/foxtailstack/entry"
 )
 
+const (
+	// maxAge is the age up to which a sighting is used without a new probe.
+	maxAge = 300 * time.Millisecond
+	// enough is the number of fresh candidates that a choice needs.
+	enough = 2
+)
+
 // Proposal holds the candidates for one attempt, those decided by the prefix
 // first.
 type Proposal struct {
@@ -125,20 +132,17 @@
 	}
 }
 
-// Stale returns the candidates that no probe has seen within an age.
-func (o Proposal) Stale(now time.Time, limit time.Duration) []Target {
+// Stale returns the candidates that are to be probed, since no probe has seen
+// them lately, and how many of the answers the attempt should wait for.
+func (o Proposal) Stale(now time.Time) ([]Target, int) {
 	var stale []Target
 	for _, p := range o.peers {
-		if age, known := p.age(now); !known || age > limit {
+		if age, known := p.age(now); !known || age > maxAge {
 			stale = append(stale, p.member)
 		}
 	}
-	return stale
-}
-
-// Len returns the number of candidates.
-func (o Proposal) Len() int {
-	return len(o.peers)
+	fresh := len(o.peers) - len(stale)
+	return stale, max(0, min(enough, len(o.peers))-fresh)
 }
 
 // Pick returns the upstream for the attempt, which counts as in flight until
