Count a prefix miss for more when slots run out

At load 95 too many requests left the holders of their prefixes for a shorter queue; each miss holds a slot 200 ms longer, so that the queues of all grew. The miss now counts up to seven times as much, in proportion to the share of busy slots among the candidates above 90 in 100.

--- a/balance/proposal.go
+++ b/balance/proposal.go
@@ -14,6 +14,10 @@
 	maxAge = 300 * time.Millisecond
 	// enough is the number of fresh candidates that a choice needs.
 	enough = 2
+	// calm is the share of busy slots up to which a miss costs only its own call,
+	// and maxPressure is what it costs more once all are busy.
+	calm        = 0.9
+	maxPressure = 6
 )
 
 // Proposal holds the candidates for one attempt, those decided by the prefix
@@ -198,7 +202,7 @@
 			Known:    known,
 			Age:      age,
 			Distance: o.directory.distance(p),
-			Miss:     time.Duration(float64(o.missAt(i)) * o.slowness(p)),
+			Miss:     time.Duration(float64(o.missAt(i)) * o.slowness(p) * o.pressure()),
 		})
 	}
 	return candidates
@@ -218,6 +222,22 @@
 	return o.directory.miss() / 2
 }
 
+// pressure returns how much a miss costs against one on idle upstreams. A miss
+// holds a slot for longer, which all calls behind it pay for once slots run out.
+func (o Proposal) pressure() float64 {
+	busy, slots := 0.0, 0.0
+	for _, p := range o.peers {
+		if seen := p.seen.Load(); seen != nil {
+			busy += float64(min(seen.load.Running, seen.load.Slots))
+			slots += float64(seen.load.Slots)
+		}
+	}
+	if slots == 0 {
+		return 1
+	}
+	return 1 + maxPressure*max(0, busy/slots-calm)/(1-calm)
+}
+
 // slowness returns the service time of an upstream against the shortest among
 // the candidates.
 func (o Proposal) slowness(p *peer) float64 {
