--- a/entry/choose.go
+++ b/entry/choose.go
@@ -50,6 +50,27 @@
 	Admit(name foxtailstack.TeamName, cost foxtailstack.Tokens) (retry time.Duration, ok bool)
 }
 
+// Settler is a Limiter that takes the true cost of a request once it is known.
+type Settler interface {
+	// Settle replaces the estimated cost of an admitted request by its true one.
+	Settle(name foxtailstack.TeamName, estimate, actual foxtailstack.Tokens)
+}
+
+// settle tells the limiter what a request cost: nothing if it has not run, and
+// otherwise the tokens of the prompt and of what came back.
+func (s *Server) settle(req *request, out *response, err error) {
+	settler, ok := s.Limiter.(Settler)
+	if !ok {
+		return
+	}
+	actual := costOf(req) + foxtailstack.Tokens(out.length/bytesPerToken)
+	var failed *AttemptError
+	if errors.As(err, &failed) && failed.Outcome == foxtailstack.NotRun {
+		actual = 0
+	}
+	settler.Settle(req.team, costOf(req), actual)
+}
+
 // resultOf returns the result of an attempt under ctx that ended with err.
 func resultOf(ctx context.Context, err error, latency time.Duration) Result {
 	result := Result{
--- a/measure/route.go
+++ b/measure/route.go
@@ -244,13 +244,34 @@
 		return r.first[int(share*float64(len(r.first)-1))].Round(time.Millisecond / 10)
 	}
 	return Line{
-		{"policy", policy},
-		{"load", load},
-		{"p50", at(0.5)},
-		{"p95", at(0.95)},
-		{"p99", at(0.99)},
-		{"late", float64(r.late) / float64(max(r.served, 1))},
-		{"hits", float64(r.hits) / float64(max(r.served, 1))},
+		{
+			Key:   "policy",
+			Value: policy,
+		},
+		{
+			Key:   "load",
+			Value: load,
+		},
+		{
+			Key:   "p50",
+			Value: at(0.5),
+		},
+		{
+			Key:   "p95",
+			Value: at(0.95),
+		},
+		{
+			Key:   "p99",
+			Value: at(0.99),
+		},
+		{
+			Key:   "late",
+			Value: float64(r.late) / float64(max(r.served, 1)),
+		},
+		{
+			Key:   "hits",
+			Value: float64(r.hits) / float64(max(r.served, 1)),
+		},
 	}
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"time"
 
 	"github.com/alexedwards/flow"
 	"github.com/foxtailstack/foxtailstack"
@@ -22,8 +24,10 @@
 	*base
 	replica  *fleet.Replica
 	chooser  *balance.Chooser
+	limiter  *team.Limiter
 	listener net.Listener
 	handler  *flow.Mux
+	callers  *entry.Server
 }
 
 // NewEntry binds the addresses of an entry.
@@ -33,6 +37,14 @@
 		replica: &fleet.Replica{},
 		handler: flow.New(),
 	}
+	instances := listOf(cfg)
+	e.limiter = &team.Limiter{
+		Replica:   e.replica,
+		Client:    e.client,
+		Instances: instances,
+		Name:      cfg.Name,
+	}
+	e.mux.Handle(team.StreamBudget, e.limiter.ServeBudget)
 	err := e.listenPeers(config)
 	if err != nil {
 		return nil, err
@@ -45,22 +57,25 @@
 		Replica:   e.replica,
 		Client:    e.client,
 		Centre:    cfg.Centre,
-		Instances: listOf(cfg),
+		Instances: instances,
 	}
-	callers := &entry.Server{
+	e.callers = &entry.Server{
 		Replica:  e.replica,
 		Client:   e.client,
-		Recorder: booking.Recorder{Table: e.table},
+		Recorder: e.recorder(),
 		Ring:     e.ring,
 		Chooser:  e.chooser,
-		Limiter:  &team.Limiter{},
+		Limiter:  e.limiter,
 	}
-	callers.Routes(e.handler)
+	e.callers.Routes(e.handler)
+	e.handler.HandleFunc(pathReady, e.serveReady, http.MethodGet)
 	operators := &fleet.API{
 		Store:   fleet.Store{Table: e.table},
 		Replica: e.replica,
 	}
 	operators.Routes(e.handler)
+	bookings := &booking.API{Resolver: e.callers.Resolver()}
+	bookings.Routes(e.handler, nil)
 	return e, nil
 }
 
@@ -84,15 +99,30 @@
 		Replica: e.replica,
 	}
 	go poller.Run(background)
+	go e.serveStatus(background)
+	go e.awaitConfig(background, e.replica)
 	go e.chooser.Run(background)
-	go e.serveStatus(background, func() bool { return e.replica.Snapshot().Revision > 0 })
+	go e.limiter.Run(background)
 	go func() { _ = e.mux.Serve(background) }()
-	err := serveHTTP(ctx, e.listener, e.handler, e.grace())
+	err := serveHTTP(ctx, e.listener, e.handler, e.grace(), e.drain)
 	e.client.Close()
+	e.life.fire(stepStop)
 	e.log.Info("entry stopped")
 	return err
 }
 
+// drain refuses new requests and waits for those in progress.
+func (e *Entry) drain(ctx context.Context) error {
+	e.life.fire(stepDrain)
+	lingered := time.After(linger)
+	err := e.callers.Drain(ctx)
+	if err != nil {
+		return ErrGrace
+	}
+	<-lingered
+	return nil
+}
+
 // listOf returns the platform's list of instances, or nil if there is none.
 func listOf(cfg settings.Settings) foxtailstack.InstanceList {
 	if cfg.Platform.List == "" {
--- a/team/account.go
+++ b/team/account.go
@@ -17,15 +17,17 @@
 	smoothing = time.Second
 	// validity is the time after which unspent tokens are lost.
 	validity = 3 * time.Second
-	// minPause and maxPause bound the time between two asks that did not give
-	// all that was wanted.
+	// minPause and maxPause bound the mean time between two asks that did not
+	// give all that was wanted. A pool must not overflow meanwhile.
 	minPause = 100 * time.Millisecond
-	maxPause = time.Second
+	maxPause = burst / 2
 	// lostPause is the time after which an owner that could not be reached is
 	// asked again.
 	lostPause = time.Second
 	// minReturn is the shortest time after which a refused caller may come back.
 	minReturn = 200 * time.Millisecond
+	// maxReturn bounds the mean time after which a refused caller may come back.
+	maxReturn = 10 * time.Second
 )
 
 // Ask asks the owner of a team for tokens.
@@ -175,6 +177,3 @@
 	base = min(base, maxReturn.Seconds())
 	return time.Duration((0.5 + draw()) * base * float64(time.Second))
 }
-
-// maxReturn bounds the mean time after which a refused caller may come back.
-const maxReturn = 10 * time.Second
--- /dev/null
+++ b/team/limiter_test.go
@@ -0,0 +1,222 @@
+package team
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/fleet"
+	"github.com/foxtailstack/foxtailstack/wire"
+	"github.com/google/go-cmp/cmp"
+)
+
+const (
+	limited   = foxtailstack.TeamName("blenders")
+	limitRate = 1000
+	callCost  = 10
+)
+
+// network joins limiters; it is the Client and the InstanceList of each.
+type network struct {
+	limiters []*Limiter
+	// cut tells whether the entry of a number cannot be reached.
+	cut map[int]bool
+}
+
+func (n *network) Call(ctx context.Context, address foxtailstack.Address, _ wire.Kind, request, response any) error {
+	time.Sleep(5 * time.Millisecond)
+	var at int
+	if _, err := fmt.Sscanf(string(address), "entry%d", &at); err != nil || n.cut[at] {
+		return errors.Join(wire.ErrUnreachable, err)
+	}
+	grant, err := n.limiters[at].grant(ctx, request.(Ask))
+	*response.(*Grant) = grant
+	return err
+}
+
+func (n *network) Instances(context.Context) ([]foxtailstack.Instance, error) {
+	var list []foxtailstack.Instance
+	for i := range n.limiters {
+		name := fmt.Sprintf("entry%d", i)
+		list = append(list, foxtailstack.Instance{
+			Name:    foxtailstack.InstanceName(name),
+			Role:    foxtailstack.RoleEntry,
+			Address: foxtailstack.Address(name),
+		})
+	}
+	return list, nil
+}
+
+// alone is a list that holds one instance.
+type alone struct{ foxtailstack.Instance }
+
+func (a alone) Instances(context.Context) ([]foxtailstack.Instance, error) {
+	return []foxtailstack.Instance{a.Instance}, nil
+}
+
+// start runs n limiters of a team with limitRate tokens a second.
+func start(ctx context.Context, t *testing.T, n int, split bool) *network {
+	t.Helper()
+	replica := &fleet.Replica{}
+	err := replica.Apply([]fleet.Change{{Resource: fleet.Resource{
+		ID: fleet.ID{
+			Kind: fleet.KindTeam,
+			Name: string(limited),
+		},
+		Version:  1,
+		Revision: 1,
+		Spec:     fmt.Appendf(nil, `{"tokens":%d}`, limitRate),
+	}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	net := &network{cut: map[int]bool{}}
+	for range n {
+		net.limiters = append(net.limiters, &Limiter{})
+	}
+	instances, _ := net.Instances(ctx)
+	for i, l := range net.limiters {
+		l.Replica = replica
+		l.Client = net
+		l.Instances = net
+		l.Name = instances[i].Name
+		if split {
+			l.Instances = alone{instances[i]}
+		}
+		go l.Run(ctx)
+	}
+	synctest.Wait()
+	return net
+}
+
+// offer sends calls to the first n entries in turn, at times the limit, and
+// returns the admitted tokens a second against the limit.
+func (n *network) offer(entries int, times float64, length time.Duration) float64 {
+	calls := int(times * limitRate / callCost * length.Seconds())
+	admitted := 0
+	for i := range calls {
+		if _, ok := n.limiters[i%entries].Admit(limited, callCost); ok {
+			admitted += callCost
+		}
+		time.Sleep(length / time.Duration(calls))
+	}
+	return float64(admitted) / limitRate / length.Seconds()
+}
+
+func TestLimiterHoldsTheLimit(t *testing.T) {
+	tests := []struct {
+		name  string
+		times float64
+		// do makes something fail after the first ten seconds.
+		do func(n *network, owner int)
+		// least and most bound the share of the limit that is used afterwards.
+		least, most float64
+		split       bool
+	}{
+		{
+			name:  "below the limit",
+			times: 0.8,
+			do:    nil,
+			least: 0.8,
+			most:  0.8,
+			split: false,
+		},
+		{
+			name:  "far above the limit",
+			times: 5,
+			do:    nil,
+			least: 0.9,
+			most:  1.05,
+			split: false,
+		},
+		{
+			name:  "owner unreachable",
+			times: 5,
+			do:    func(n *network, owner int) { n.cut[owner] = true },
+			least: 0.9,
+			most:  2,
+			split: false,
+		},
+		{
+			name:  "two owners",
+			times: 5,
+			do:    nil,
+			least: 1.8,
+			most:  2.1,
+			split: true,
+		},
+		{
+			name:  "debts of dear answers",
+			times: 0.8,
+			do: func(n *network, _ int) {
+				for _, l := range n.limiters {
+					l.Settle(limited, 0, 4*limitRate)
+				}
+			},
+			least: 0,
+			most:  0.6,
+			split: false,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				entries := 4
+				if test.split {
+					entries = 2
+				}
+				n := start(ctx, t, entries, test.split)
+				instances, _ := n.Instances(ctx)
+				owner, _ := ownerOf(limited, instances)
+				n.offer(entries, test.times, 10*time.Second)
+				if test.do != nil {
+					var at int
+					if _, err := fmt.Sscanf(string(owner.Name), "entry%d", &at); err != nil {
+						t.Fatal(err)
+					}
+					test.do(n, at)
+				}
+				got := n.offer(entries, test.times, 20*time.Second)
+				if got < test.least-1e-9 || got > test.most+1e-9 {
+					t.Errorf("%.3f of the limit used, expected %.2f to %.2f", got, test.least, test.most)
+				}
+				time.Sleep(askTimeout)
+			})
+		})
+	}
+}
+
+func TestLimiterZeroAdmits(t *testing.T) {
+	var l Limiter
+	retry, ok := l.Admit(limited, math.MaxInt32)
+	if diff := cmp.Diff(time.Duration(0), retry); diff != "" || !ok {
+		t.Error(ok, diff)
+	}
+	l.Settle(limited, 1, 2)
+}
+
+// The callers refused at one moment are told to come back at many.
+func TestAccountSpreadsReturns(t *testing.T) {
+	now := time.Unix(0, 0)
+	a := Account{}
+	limit := Limit{
+		Rate:    limitRate,
+		Entries: 1,
+	}
+	returns := map[time.Duration]int{}
+	for range 500 {
+		if retry, ok := a.Admit(now, limit, callCost); !ok {
+			returns[retry/(100*time.Millisecond)]++
+		}
+	}
+	if len(returns) < 10 {
+		t.Errorf("refused callers come back in %d different tenths of a second: %v", len(returns), returns)
+	}
+}
--- a/upstream/server.go
+++ b/upstream/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
 
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/booking"
@@ -12,12 +13,8 @@
 	"github.com/zeebo/xxh3"
 )
 
-const (
-	// chunkSize is the size of the largest piece of an answer in bytes.
-	chunkSize = 16 << 10
-	// maxAnswer is the length of the longest recorded answer in bytes.
-	maxAnswer = 256 << 10
-)
+// chunkSize is the size of the largest piece of an answer in bytes.
+const chunkSize = 16 << 10
 
 // Events of the sidecar.
 const (
@@ -26,6 +23,7 @@
 	EventRefuse   timeline.Kind = "attempt-refuse"
 	EventFail     timeline.Kind = "attempt-fail"
 	EventMismatch timeline.Kind = "engine-mismatch"
+	EventDrain    timeline.Kind = "upstream-drain"
 )
 
 // Server serves the attempts on one upstream.
@@ -36,10 +34,11 @@
 	Engine      foxtailstack.Engine
 	Gate        *Gate
 	Ledger      *booking.Ledger
-	Recorder    booking.Recorder
+	Flusher     *booking.Flusher
 	Ring        *timeline.Ring
 
 	recent Recent
+	door   door
 }
 
 // ServeAttempt is the handler of StreamAttempt.
@@ -68,8 +67,7 @@
 	id     foxtailstack.AttemptID
 	open   *Open
 	run    *Run
-	// answer is kept of a non-idempotent attempt.
-	answer booking.Answer
+	booked booked
 }
 
 // serve admits and runs the attempt.
@@ -82,6 +80,10 @@
 		a.refuse(ReasonExpired)
 		return
 	}
+	if a.server.door.closed.Load() {
+		a.refuse(ReasonDraining)
+		return
+	}
 	err := a.server.Gate.Enter(ctx, Ticket{
 		Team:     a.open.Team,
 		Priority: a.open.Priority,
@@ -91,7 +93,8 @@
 		a.refuseWith(gateRefusal(err))
 		return
 	}
-	defer a.server.Gate.Leave()
+	a.booked.leave = sync.OnceFunc(a.server.Gate.Leave)
+	defer a.booked.leave()
 	if a.open.Reserve {
 		if !a.reserve() {
 			return
@@ -99,18 +102,11 @@
 		// A non-idempotent attempt that has started is finished in any case.
 		ctx = context.WithoutCancel(ctx)
 	} else {
-		go a.watch(cancel)
+		a.stream.Watch(cancel) // the entry sends nothing more
 	}
 	a.execute(ctx)
 }
 
-// watch cancels the attempt once the entry goes away.
-func (a *attempt) watch(cancel context.CancelFunc) {
-	var frame Frame
-	_ = a.stream.Receive(&frame) // the entry sends nothing more
-	cancel()
-}
-
 // execute runs the attempt on the engine and sends the answer.
 func (a *attempt) execute(ctx context.Context) {
 	a.record(EventRun, "")
@@ -127,6 +123,7 @@
 	}
 	if a.run != nil {
 		call.Fencing = a.run.Number
+		call.Booking = a.run.Key.String()
 	}
 	answer, err := a.server.Engine.Run(ctx, call)
 	if err == nil {
@@ -136,7 +133,7 @@
 	switch {
 	case err == nil:
 		a.record(EventEnd, "")
-	case errors.Is(err, foxtailstack.ErrEngineRefused) && a.run == nil:
+	case errors.Is(err, foxtailstack.ErrEngineRefused):
 		a.refuse(ReasonDown)
 	case errors.Is(err, foxtailstack.ErrEngineMismatch):
 		a.record(EventMismatch, err.Error())
@@ -149,8 +146,8 @@
 // copy sends the answer of the engine on.
 func (a *attempt) copy(answer foxtailstack.EngineAnswer) error {
 	defer answer.Body.Close()
-	a.answer.Status = answer.Status
-	a.answer.ContentType = answer.ContentType
+	a.booked.answer.Status = answer.Status
+	a.booked.answer.ContentType = answer.ContentType
 	lost := a.send(Frame{Head: &Head{
 		Status:      answer.Status,
 		ContentType: answer.ContentType,
@@ -163,9 +160,7 @@
 		if n > 0 {
 			_, _ = sum.Write(buffer[:n]) // never fails
 			length += uint64(n)
-			if a.run != nil && len(a.answer.Body)+n <= maxAnswer {
-				a.answer.Body = append(a.answer.Body, buffer[:n]...)
-			}
+			a.keep(buffer[:n])
 			if lost == nil {
 				lost = a.send(Frame{Data: buffer[:n]})
 			}
@@ -183,13 +178,14 @@
 	if lost != nil && a.run == nil {
 		return lost
 	}
-	if lost == nil {
+	err := a.conclude()
+	if err == nil && lost == nil {
 		_ = a.send(Frame{End: &End{
 			Length: length,
 			Sum:    sum.Sum64(),
 		}})
 	}
-	return nil
+	return err
 }
 
 // send sends a frame of the attempt.
@@ -200,7 +196,11 @@
 
 // refuse ends an attempt that the engine has not seen.
 func (a *attempt) refuse(reason Reason) {
-	a.refuseWith(Refusal{Reason: reason})
+	refusal := Refusal{Reason: reason}
+	if reason == ReasonDraining {
+		refusal.Retry = drainRetry
+	}
+	a.refuseWith(refusal)
 }
 
 // refuseWith ends an attempt that the engine has not seen.
@@ -224,3 +224,12 @@
 		Text:     text,
 	})
 }
+
+// record records an event of the upstream.
+func (s *Server) record(kind timeline.Kind, text string) {
+	s.Ring.Record(timeline.Event{
+		Kind:     kind,
+		Upstream: s.Upstream,
+		Text:     text,
+	})
+}
