Count a passed deadline as slowness and not as a failure

In an overload every upstream misses deadlines, and three in a row ejected upstreams that were as good as the others. A passed deadline now only goes into the smoothed latency; an upstream that hangs is still ejected, by its latency beside the others.

--- a/balance/directory_test.go
+++ b/balance/directory_test.go
@@ -78,6 +78,13 @@
 		Outcome:  foxtailstack.Unknown,
 		Canceled: true,
 	}
+	expired := entry.Result{
+		Outcome: foxtailstack.Unknown,
+		Expired: true,
+		Latency: 150 * time.Millisecond,
+	}
+	hung := expired
+	hung.Latency = 10 * time.Second
 	refused := entry.Result{
 		Outcome: foxtailstack.NotRun,
 		Refused: true,
@@ -127,6 +134,32 @@
 			}},
 			want: Healthy,
 		},
+		{
+			name: "deadlines as short as the answers of others",
+			steps: []step{{
+				after:  0,
+				result: expired,
+				times:  50,
+			}, {
+				after:  time.Second,
+				result: expired,
+				times:  0,
+			}},
+			want: Healthy,
+		},
+		{
+			name: "deadlines that only this one misses",
+			steps: []step{{
+				after:  0,
+				result: hung,
+				times:  20,
+			}, {
+				after:  time.Second,
+				result: hung,
+				times:  0,
+			}},
+			want: Ejected,
+		},
 		{
 			name: "refusals",
 			steps: []step{{
--- a/balance/health.go
+++ b/balance/health.go
@@ -115,6 +115,8 @@
 	failed := result.Unreachable || result.Outcome == foxtailstack.Unknown
 	switch {
 	case p == nil || result.Canceled:
+	case result.Expired:
+		d.expired(now, p, result.Latency)
 	case failed:
 		d.failed(now, p)
 	case result.Outcome == foxtailstack.Ran:
@@ -130,15 +132,29 @@
 	}
 }
 
-// answered counts an answer.
-func (d *Directory) answered(now time.Time, p *peer, latency time.Duration) {
-	h := &p.health
-	h.failures = 0
+// expired counts an answer that was not there by the caller's deadline. When
+// all upstreams are late none fails; one that hangs is late beside the others.
+func (d *Directory) expired(now time.Time, p *peer, latency time.Duration) {
+	p.health.note(latency)
+	if State(p.state.Load()) == Probing {
+		d.eject(now, p)
+	}
+}
+
+// note takes a latency into the smoothed one.
+func (h *health) note(latency time.Duration) {
 	h.samples++
 	if h.samples == 1 {
 		h.latency = latency
 	}
 	h.latency += time.Duration(latencyShare * float64(latency-h.latency))
+}
+
+// answered counts an answer.
+func (d *Directory) answered(now time.Time, p *peer, latency time.Duration) {
+	h := &p.health
+	h.failures = 0
+	h.note(latency)
 	if State(p.state.Load()) != Probing {
 		return
 	}
--- a/entry/choose.go
+++ b/entry/choose.go
@@ -31,6 +31,8 @@
 	Unreachable bool
 	// Canceled is set if the caller went away before the attempt ended.
 	Canceled bool
+	// Expired is set if the caller's deadline passed before the attempt ended.
+	Expired bool
 	// Latency is the time of the whole attempt.
 	Latency time.Duration
 }
@@ -77,6 +79,7 @@
 		Outcome:  foxtailstack.Ran,
 		Latency:  latency,
 		Canceled: errors.Is(ctx.Err(), context.Canceled),
+		Expired:  errors.Is(ctx.Err(), context.DeadlineExceeded),
 	}
 	var failed *AttemptError
 	if errors.As(err, &failed) {
