Measure overload and team limits in virtual time

measure overload offers two to five times the capacity to real gates behind the code that decides in an entry, with callers that come back, and the limit of one team at fifty entries while its owner dies, is cut off or is two.

--- a/measure/measure.go
+++ b/measure/measure.go
@@ -50,7 +50,8 @@
 
 // experiments holds the experiments by name.
 var experiments = map[string]Experiment{
-	"route": Route,
+	"overload": Overload,
+	"route":    Route,
 }
 
 // Names returns the names of all experiments in order.
--- a/measure/route.go
+++ b/measure/route.go
@@ -117,10 +117,7 @@
 		r.workers = append(r.workers, w)
 	}
 	r.workers[1].speed = routeSlow
-	for n := range routePrefixes {
-		r.prompts = append(r.prompts, []byte(strings.Repeat(fmt.Sprintf("prefix %d ", n), 40)))
-		r.popular = append(r.popular, math.Pow(float64(n+1), -routeSkew))
-	}
+	r.fillPrompts()
 	for n := range routeEntries {
 		r.centres = append(r.centres, centreOf(n))
 		r.entries = append(r.entries, newRoutePolicy(policy, r, n))
@@ -133,6 +130,14 @@
 	return r.line(policy, load)
 }
 
+// fillPrompts makes the prompts and their popularity.
+func (r *route) fillPrompts() {
+	for n := range routePrefixes {
+		r.prompts = append(r.prompts, []byte(strings.Repeat(fmt.Sprintf("prefix %d ", n), 40)))
+		r.popular = append(r.popular, math.Pow(float64(n+1), -routeSkew))
+	}
+}
+
 // arrive lets requests arrive at a mean rate.
 func (r *route) arrive(rate float64) {
 	share := burstTime.Seconds() / burstPeriod.Seconds()
@@ -275,6 +280,15 @@
 	}
 }
 
+// retryOf returns when a gate lets a refused call come back.
+func retryOf(err error) time.Duration {
+	var gate *upstream.GateError
+	if errors.As(err, &gate) {
+		return gate.Retry
+	}
+	return 0
+}
+
 // refused reports whether a gate refused the attempt.
 func refused(err error) bool {
 	var gate *upstream.GateError
--- a/measure/route_policy.go
+++ b/measure/route_policy.go
@@ -263,6 +263,9 @@
 		Latency: latency,
 	}
 	switch {
+	case errors.Is(err, errLate):
+		result.Outcome = foxtailstack.Unknown
+		result.Expired = true
 	case errors.Is(err, errDied):
 		result.Outcome = foxtailstack.Unknown
 	case errors.Is(err, errUnreachable):
--- a/measure/worker.go
+++ b/measure/worker.go
@@ -28,13 +28,15 @@
 	prompt []byte
 	decode time.Duration
 	left   time.Duration
+	until  time.Time
 	team   foxtailstack.TeamName
 	// first is called with the time of the first token, if the prefix was held.
 	first func(hit bool)
 	// end is called when the attempt ends: nil, a *upstream.GateError, or errDied.
 	end func(error)
 
-	begun bool
+	// cut ends the call when no time is left.
+	cut bool
 }
 
 // worker is a fake engine behind the queue of a real gate.
@@ -116,6 +118,7 @@
 		return
 	}
 	w.waiting = append(w.waiting, c)
+	c.until = w.agenda.now.Add(c.left)
 	w.queue.Add(w.agenda.now, upstream.Ticket{
 		Team: c.team,
 		Left: c.left,
@@ -131,8 +134,12 @@
 	}
 	hit, prefill := w.load(c.prefix)
 	w.recent.Note(upstream.PrefixOf(c.prompt))
-	c.begun = true
 	total := prefill + w.paced(c.decode)
+	var late error
+	if left := c.until.Sub(w.agenda.now); c.cut && total > left {
+		total = left
+		late = errLate
+	}
 	w.running[c] = w.agenda.now.Add(total)
 	life := w.life
 	w.agenda.in(prefill, func() {
@@ -146,7 +153,7 @@
 		}
 		delete(w.running, c)
 		w.queue.Finish(w.agenda.now)
-		c.end(nil)
+		c.end(late)
 	})
 }
 
