Keep a standing queue short

A queue bounded by deadlines alone stays full for the whole of an overload: calls wait four mean service times for nothing, others that wait are pushed out after seconds, and service is slow for more than 20 s after the overload. A queue that has not been empty for 10 s now takes new calls only while they are expected to wait one mean service time, and two calls of each team in any case.

--- a/measure/overload.go
+++ b/measure/overload.go
@@ -96,6 +96,8 @@
 	// waits are the times to the first token, or -1 for a refusal, by the second
 	// of arrival after the overload.
 	waits map[int][]time.Duration
+	// arrivals counts the calls by the second after the overload.
+	arrivals map[int]int
 }
 
 // overloadCall is a caller's request, which may come back.
@@ -127,10 +129,11 @@
 // runOverload runs one policy under one load.
 func runOverload(seed uint64, policy string, load float64) Line {
 	o := &overload{
-		route: &route{random: rand.New(rand.NewPCG(seed, uint64(load)))},
-		load:  load,
-		fifo:  policy == "fifo",
-		waits: map[int][]time.Duration{},
+		route:    &route{random: rand.New(rand.NewPCG(seed, uint64(load)))},
+		load:     load,
+		fifo:     policy == "fifo",
+		waits:    map[int][]time.Duration{},
+		arrivals: map[int]int{},
 	}
 	o.now = time.Unix(0, 0)
 	for n := range routeWorkers {
@@ -205,6 +208,9 @@
 	c.tried = nil
 	c.done = false
 	c.first = -1
+	if at := o.since() - overloadEnds; at >= 0 {
+		o.arrivals[int(at/time.Second)]++
+	}
 	if o.counted() {
 		o.asked++
 		if c.team == smallTeam {
@@ -346,6 +352,16 @@
 	return 0
 }
 
+// returns returns the seconds after the overload for which callers that come
+// back keep the load above the capacity.
+func (o *overload) returns() int {
+	second := 0
+	for float64(o.arrivals[second]) > o.capacity() {
+		second++
+	}
+	return second
+}
+
 // results returns the line of the run.
 func (o *overload) results(policy string) Line {
 	length := (overloadEnds - overloadBegins - settling).Seconds()
@@ -383,9 +399,13 @@
 			Key:   "retries",
 			Value: float64(o.retries) / float64(max(o.successes, 1)),
 		},
+		{
+			Key:   "returns",
+			Value: time.Duration(o.returns()) * time.Second,
+		},
 		{
 			Key:   "recover",
-			Value: time.Duration(o.recovery()) * time.Second,
+			Value: time.Duration(max(0, o.recovery()-o.returns())) * time.Second,
 		},
 	}
 }
--- a/upstream/gate_test.go
+++ b/upstream/gate_test.go
@@ -197,6 +197,65 @@
 	})
 }
 
+// A queue that has not been empty for long takes few new calls, whatever their
+// deadlines, but some of each team; one that has just filled takes all.
+func TestQueueStanding(t *testing.T) {
+	tests := []struct {
+		name string
+		team foxtailstack.TeamName
+		// filled is the time for which calls have waited.
+		filled time.Duration
+		want   error
+	}{
+		{
+			name:   "burst",
+			team:   "big",
+			filled: patience / 2,
+			want:   nil,
+		},
+		{
+			name:   "standing",
+			team:   "big",
+			filled: patience,
+			want:   ErrFull,
+		},
+		{
+			name:   "first call of a team in a standing queue",
+			team:   "small",
+			filled: patience,
+			want:   nil,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			q := Queue{}
+			q.Resize(now, 1)
+			add := func(team foxtailstack.TeamName) error {
+				result := error(nil)
+				q.Add(now, Ticket{
+					Team: team,
+					Left: time.Hour,
+				}, &Waiter{Decided: func(err error) { result = err }})
+				return result
+			}
+			_ = add("big")
+			now = now.Add(time.Second)
+			q.Finish(now) // calls take a second
+			_ = add("big")
+			for range ownCalls + 1 {
+				if err := add("big"); err != nil {
+					t.Fatal(err)
+				}
+			}
+			now = now.Add(test.filled)
+			if diff := cmp.Diff(test.want, add(test.team), cmpopts.EquateErrors()); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
 func TestQueuePriorityWithinTeam(t *testing.T) {
 	now := time.Unix(0, 0)
 	q := Queue{Unbounded: true}
--- a/upstream/queue.go
+++ b/upstream/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -15,9 +16,18 @@
 	// memory is the weight that the service times of former calls keep when
 	// one more ends.
 	memory = 0.98
-	// reserveTimes is the number of mean service times that a call which had to
-	// wait must have left when it starts, so that its answer is in time.
+	// reserveTimes is the number of mean service times that a call must be
+	// expected to have left when it starts, so that its answer is in time.
 	reserveTimes = 2
+	// patience is the time after which a queue that has not been empty counts as
+	// standing: it delays all calls and serves none of them sooner.
+	patience = 10 * time.Second
+	// standingTimes is the number of mean service times that new calls wait in a
+	// standing queue at most, and minStanding is the least such wait.
+	standingTimes = 1
+	minStanding   = 100 * time.Millisecond
+	// ownCalls is the number of calls that each team may have in it in any case.
+	ownCalls = 2
 	// minRetry is the shortest time after which a refused call may come back.
 	minRetry = 100 * time.Millisecond
 )
@@ -69,6 +79,8 @@
 	ended   float64
 	pending float64
 	last    time.Time
+	// empty is when no call waited last.
+	empty time.Time
 }
 
 // Resize changes the number of slots at now.
@@ -99,7 +111,7 @@
 	a.waiting = slices.Insert(a.waiting, at, w)
 	q.queued++
 	q.start(now)
-	q.shed(now)
+	q.shed(now, w)
 }
 
 // Remove takes a call that waits out of the queue; others are not affected. It
@@ -182,6 +194,9 @@
 		q.pending += float64(q.running) * now.Sub(q.last).Seconds()
 	}
 	q.last = now
+	if q.queued == 0 {
+		q.empty = now
+	}
 }
 
 // account returns the account of a team.
@@ -276,9 +291,10 @@
 	return all
 }
 
-// shed refuses the calls that cannot start in time for their answers. Without
-// a service time yet, as many calls wait as there are slots.
-func (q *Queue) shed(now time.Time) {
+// shed refuses the newcomer if it is not expected to start early enough, and
+// others that now cannot start before their deadlines. Without a service time
+// yet, as many calls wait as there are slots.
+func (q *Queue) shed(now time.Time, newcomer *Waiter) {
 	if q.Unbounded || q.queued == 0 {
 		return
 	}
@@ -286,7 +302,10 @@
 	n := 0
 	for _, w := range q.inOrder() {
 		wait := q.waitAt(n)
-		late := wait + reserveTimes*service - w.deadline.Sub(now)
+		late := wait - w.deadline.Sub(now)
+		if w == newcomer {
+			late = max(late+reserveTimes*service, wait-q.standing(now, w))
+		}
 		if late <= 0 && (service > 0 || n < q.slots) {
 			n++
 			continue
@@ -296,6 +315,17 @@
 	}
 }
 
+// standing returns the longest wait that a new call may expect, whatever its
+// deadline. A queue that has not been empty for long is kept short, as in
+// K. Nichols, V. Jacobson, "Controlling Queue Delay", ACM Queue 10(5), 2012; but
+// each team may have a few calls in it.
+func (q *Queue) standing(now time.Time, w *Waiter) time.Duration {
+	if now.Sub(q.empty) < patience || len(q.account(w.ticket.Team).waiting) <= ownCalls {
+		return math.MaxInt64
+	}
+	return max(minStanding, time.Duration(standingTimes*float64(q.Service())))
+}
+
 // full returns the error of a call that would come late by a time. The returns
 // of refused calls are spread over the time in which the queue empties.
 func (q *Queue) full(late time.Duration) *GateError {
