--- a/entry/response.go
+++ b/entry/response.go
@@ -79,6 +79,8 @@
 	status     int
 	kind       string
 	body       []byte
+	// length is the length in bytes of the answer so far.
+	length int
 }
 
 // head takes the head of an answer. One that goes on after a part was delivered
@@ -90,11 +92,13 @@
 	r.status = h.Status
 	r.kind = h.ContentType
 	r.body = r.body[:0]
+	r.length = 0
 	return nil
 }
 
 // data takes a piece of the body.
 func (r *response) data(b []byte, last uint64) error {
+	r.length += len(b)
 	if !r.stream || !strings.HasPrefix(r.kind, typeEvents) {
 		if len(r.body)+len(b) > maxAnswer {
 			return ErrAnswerTooLong
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -50,8 +50,10 @@
 
 // experiments holds the experiments by name.
 var experiments = map[string]Experiment{
-	"idle": Idle,
-	"path": Path,
+	"idle":     Idle,
+	"path":     Path,
+	"overload": Overload,
+	"route":    Route,
 }
 
 // Names returns the names of all experiments in order.
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -11,6 +11,7 @@
 //	shutdown NAME                    end a process by SIGTERM; it must exit with 0
 //	stopping NAME                    send SIGTERM and wait until it drains
 //	sigkill NAME                     end a process by SIGKILL
+//	ready ENTRY                      wait until an entry takes new work
 //	insist NAME                      send SIGTERM until a process ends; it must
 //	                                 exit with 0
 //	freeze NAME, thaw NAME           stop and continue a process
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -223,6 +224,25 @@
 	}
 }
 
+// ready waits until an entry takes new work.
+func (s *system) ready(_ *testscript.TestScript, args []string) error {
+	if len(args) != 1 || s.processes[args[0]] == nil {
+		return errUsage
+	}
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	return await(startTimeout, func() bool {
+		response, err := client.Get(s.processes[args[0]].url + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
 // insist sends SIGTERM over and over until a process ends; it must exit with 0.
 func (s *system) insist(_ *testscript.TestScript, args []string) error {
 	for {
--- a/upstream/server.go
+++ b/upstream/server.go
@@ -35,6 +35,7 @@
 	door   door
 	health health
 	lane   lane
+	recent Recent
 }
 
 // ServeAttempt is the handler of StreamAttempt.
