--- a/expert.go
+++ b/expert.go
@@ -1,5 +1,7 @@
 package foxtailstack
 
+import "time"
+
 // Rank numbers the ranks of a group from zero.
 type Rank int
 
@@ -12,17 +14,35 @@
 // Step numbers the lock-step iterations of a group.
 type Step uint64
 
-// ExpertMap assigns the slots of every rank to experts, for one layer:
-// Slots[r][i] is the expert in slot i of rank r. An expert may fill several
-// slots, on different ranks, which share its load.
+// ExpertLayer assigns the slots of every rank to experts: ExpertLayer[r][i] is
+// the expert in slot i of rank r. An expert may fill several slots, on
+// different ranks, which share its load.
+type ExpertLayer [][]Expert
+
+// ExpertMap is the map of all layers of a model.
 type ExpertMap struct {
-	Epoch Epoch
-	Slots [][]Expert
+	Epoch  Epoch         `cbor:"1,keyasint"`
+	Layers []ExpertLayer `cbor:"2,keyasint"`
+}
+
+// ExpertLoad is the smoothed load of the experts of one layer.
+type ExpertLoad struct {
+	// Tokens is the load of each expert in tokens a step.
+	Tokens []float64
+	// Age is the time since the load last jumped.
+	Age time.Duration
 }
 
 // Planner decides when and how the expert map of a group changes.
 type Planner interface {
-	// Plan returns the next map for one layer, given the smoothed load of each
-	// expert in tokens a step. It returns current unchanged to keep it.
-	Plan(current ExpertMap, load []float64) ExpertMap
+	// Plan returns the next map, given the load of every layer. It returns
+	// current unchanged to keep it, and shares the layers that stay.
+	Plan(now time.Time, current ExpertMap, loads []ExpertLoad) (ExpertMap, error)
+}
+
+// StepGate tells an engine which expert map to use.
+type StepGate interface {
+	// Begin returns the epoch of the map for a step. While it reports false
+	// the rank must not start the step, and asks again later.
+	Begin(step Step) (Epoch, bool)
 }
--- /dev/null
+++ b/expert/adaptive.go
@@ -0,0 +1,170 @@
+package expert
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+)
+
+const (
+	// defaultCost is the step time lost by one move if no other is named.
+	defaultCost = 100 * time.Millisecond
+	// maxChanges bounds the changes considered for one layer in one plan.
+	maxChanges = 32
+)
+
+// Adaptive changes the present map only where it pays: a change is made once the
+// step time lost without it, since the load last jumped or the layer last
+// changed, exceeds what its moves cost. Waiting until then costs at most as much
+// again as knowing how long the shift lasts (Karlin et al., Competitive Snoopy
+// Caching, 1988). The zero value is ready for use.
+type Adaptive struct {
+	// Skew and Moves weigh step-time skew against moves; zero means 1.
+	Skew  float64
+	Moves float64
+	// Cap is the highest number of experts moved in one plan; zero means no cap.
+	Cap int
+	// Quiet lists the hours of the day, in UTC, in which no expert moves.
+	Quiet []int
+	// Cost is the step time lost by one move; zero means 100 ms.
+	Cost time.Duration
+
+	changed []time.Time
+}
+
+// Check returns ErrOptions if an option is out of range.
+func (a *Adaptive) Check() error {
+	if a.Skew < 0 || a.Moves < 0 || a.Cap < 0 || a.Cost < 0 {
+		return fmt.Errorf("%w: skew, moves, cap and cost must not be negative", ErrOptions)
+	}
+	for _, hour := range a.Quiet {
+		if hour < 0 || hour > 23 {
+			return fmt.Errorf("%w: quiet hour %d is not in 0 to 23", ErrOptions, hour)
+		}
+	}
+	return nil
+}
+
+// Plan returns the map after the changes that pay. It returns ErrOptions and the
+// errors of CheckMap.
+func (a *Adaptive) Plan(now time.Time, current foxtailstack.ExpertMap, loads []foxtailstack.ExpertLoad) (foxtailstack.ExpertMap, error) {
+	err := a.Check()
+	if err == nil {
+		err = CheckMap(current, loads)
+	}
+	if err != nil || a.quiet(now) {
+		return current, err
+	}
+	if len(a.changed) != len(loads) {
+		a.changed = make([]time.Time, len(loads))
+		for l := range a.changed {
+			a.changed[l] = now.Add(-loads[l].Age)
+		}
+	}
+	var offers []offer
+	for l, layer := range current.Layers {
+		age := min(loads[l].Age, now.Sub(a.changed[l]))
+		o := a.offer(layer, loads[l].Tokens, age.Seconds()/float64(len(loads)))
+		if o.net > 0 {
+			o.layer = l
+			offers = append(offers, o)
+		}
+	}
+	return a.accept(now, current, loads, offers), nil
+}
+
+// quiet reports whether now is in a quiet hour.
+func (a *Adaptive) quiet(now time.Time) bool {
+	for _, hour := range a.Quiet {
+		if now.UTC().Hour() == hour {
+			return true
+		}
+	}
+	return false
+}
+
+// offer is the best sequence of changes to one layer.
+type offer struct {
+	layer   int
+	changes []change
+	moves   int
+	// net is the step time won over the moves' cost, both weighted, in seconds.
+	net float64
+}
+
+// offer looks for changes to a layer. worth is the step time in seconds that a
+// skew higher by one has cost.
+func (a *Adaptive) offer(layer foxtailstack.ExpertLayer, tokens []float64, worth float64) offer {
+	worth *= weight(a.Skew)
+	cost := weight(a.Moves) * a.cost().Seconds()
+	skew := Skew(RankLoads(layer, tokens))
+	if (skew-1)*worth <= cost {
+		return offer{}
+	}
+	p := newPlacement(layer, tokens)
+	var best offer
+	var changes []change
+	moves := 0
+	for range maxChanges {
+		c, ok := p.improve()
+		if !ok {
+			break
+		}
+		p.apply(c)
+		changes = append(changes, c)
+		moves += c.moves()
+		net := (skew-Skew(p.loads))*worth - float64(moves)*cost
+		if net > best.net && (a.Cap == 0 || moves <= a.Cap) {
+			best = offer{
+				changes: changes[:len(changes):len(changes)],
+				moves:   moves,
+				net:     net,
+			}
+		}
+	}
+	return best
+}
+
+// accept makes the offers that win most for each move, within the cap.
+func (a *Adaptive) accept(now time.Time, current foxtailstack.ExpertMap, loads []foxtailstack.ExpertLoad, offers []offer) foxtailstack.ExpertMap {
+	sort.SliceStable(offers, func(i, j int) bool {
+		return offers[i].net*float64(offers[j].moves) > offers[j].net*float64(offers[i].moves)
+	})
+	next := current
+	moves := 0
+	for _, o := range offers {
+		if a.Cap > 0 && moves+o.moves > a.Cap {
+			continue
+		}
+		if moves == 0 {
+			next.Epoch++
+			next.Layers = append([]foxtailstack.ExpertLayer(nil), current.Layers...)
+		}
+		moves += o.moves
+		p := newPlacement(current.Layers[o.layer], loads[o.layer].Tokens)
+		for _, c := range o.changes {
+			p.apply(c)
+		}
+		next.Layers[o.layer] = p.layer
+		a.changed[o.layer] = now
+	}
+	return next
+}
+
+// cost returns the step time lost by one move.
+func (a *Adaptive) cost() time.Duration {
+	if a.Cost == 0 {
+		return defaultCost
+	}
+	return a.Cost
+}
+
+// weight returns a weight, of which zero means 1.
+func weight(w float64) float64 {
+	if w == 0 {
+		return 1
+	}
+	return w
+}
--- /dev/null
+++ b/expert/plan_test.go
@@ -0,0 +1,190 @@
+package expert
+
+import (
+	"errors"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/google/go-cmp/cmp"
+)
+
+// noon is a time outside of quiet hours.
+var noon = time.Date(2026, 1, 5, 12, 0, 0, 0, time.UTC)
+
+// model returns a map of equal layers and skewed loads for it.
+func model(t testing.TB, layers, ranks, slots, experts int) (foxtailstack.ExpertMap, []foxtailstack.ExpertLoad) {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(1, 1))
+	m := foxtailstack.ExpertMap{}
+	var loads []foxtailstack.ExpertLoad
+	for range layers {
+		layer, err := Spread(ranks, slots, experts)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.Layers = append(m.Layers, layer)
+		load := foxtailstack.ExpertLoad{Age: time.Hour}
+		for range experts {
+			load.Tokens = append(load.Tokens, math.Exp(rng.NormFloat64()))
+		}
+		loads = append(loads, load)
+	}
+	return m, loads
+}
+
+func TestAdaptive(t *testing.T) {
+	for _, ranks := range []int{4, 8, 32, 128} {
+		m, loads := model(t, 3, ranks, 64/ranks+2, 64)
+		planner := &Adaptive{}
+		next, err := planner.Plan(noon, m, loads)
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = CheckMap(next, loads)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for l := range m.Layers {
+			before := Skew(RankLoads(m.Layers[l], loads[l].Tokens))
+			after := Skew(RankLoads(next.Layers[l], loads[l].Tokens))
+			if after-1 > 0.5*(before-1) {
+				t.Errorf("%d ranks, layer %d: skew %.3f after %.3f", ranks, l, after, before)
+			}
+		}
+		first, later := moved(m, next), 0
+		for minute := range 20 {
+			last := next
+			next, err = planner.Plan(noon.Add(time.Duration(minute)*time.Minute), last, loads)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if minute < 5 {
+				first += moved(last, next)
+			} else {
+				later += moved(last, next)
+			}
+		}
+		if later > first/2 {
+			t.Errorf("%d ranks: %d moves under the same load after %d at first", ranks, later, first)
+		}
+	}
+}
+
+// moved returns the moves in all layers.
+func moved(current, next foxtailstack.ExpertMap) int {
+	n := 0
+	for l := range next.Layers {
+		n += Moves(current.Layers[l], next.Layers[l])
+	}
+	return n
+}
+
+func TestAdaptiveLimits(t *testing.T) {
+	m, loads := model(t, 2, 8, 10, 64)
+	for name, planner := range map[string]*Adaptive{
+		"quiet hour": {Quiet: []int{12}},
+		"costly":     {Moves: 1e9},
+		"small cap":  {Cap: 3},
+	} {
+		next, err := planner.Plan(noon, m, loads)
+		if err != nil {
+			t.Fatal(err)
+		}
+		moves := moved(m, next)
+		if moves > planner.Cap {
+			t.Errorf("%s: %d moves", name, moves)
+		}
+	}
+}
+
+func TestPlanErrors(t *testing.T) {
+	m, loads := model(t, 1, 2, 2, 4)
+	twice := foxtailstack.ExpertMap{Layers: []foxtailstack.ExpertLayer{{{0, 0}, {1, 2}}}}
+	missing := foxtailstack.ExpertMap{Layers: []foxtailstack.ExpertLayer{{{0, 1}, {1, 2}}}}
+	bad := []foxtailstack.ExpertLoad{{Tokens: []float64{1, 2, math.NaN(), 0}}}
+	tests := []struct {
+		name    string
+		planner foxtailstack.Planner
+		m       foxtailstack.ExpertMap
+		loads   []foxtailstack.ExpertLoad
+		want    error
+	}{
+		{
+			name:    "expert twice",
+			planner: Repack{},
+			m:       twice,
+			loads:   loads,
+			want:    ErrSlots,
+		},
+		{
+			name:    "expert missing",
+			planner: Static{},
+			m:       missing,
+			loads:   loads,
+			want:    ErrSlots,
+		},
+		{
+			name:    "not a number",
+			planner: &Adaptive{},
+			m:       m,
+			loads:   bad,
+			want:    ErrLoad,
+		},
+		{
+			name:    "layers",
+			planner: &Adaptive{},
+			m:       m,
+			loads:   nil,
+			want:    ErrLoad,
+		},
+		{
+			name:    "options",
+			planner: &Adaptive{Quiet: []int{24}},
+			m:       m,
+			loads:   loads,
+			want:    ErrOptions,
+		},
+	}
+	for _, test := range tests {
+		_, err := test.planner.Plan(noon, test.m, test.loads)
+		if !errors.Is(err, test.want) {
+			t.Errorf("%s: error %v, want %v", test.name, err, test.want)
+		}
+	}
+}
+
+func TestSmootherJump(t *testing.T) {
+	s := &Smoother{}
+	var got []time.Duration
+	for i := range 8 {
+		sample := [][]float64{{3, 1}}
+		if i >= 4 {
+			sample = [][]float64{{1, 3}}
+		}
+		loads, err := s.Add(time.Minute, sample)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, loads[0].Age)
+	}
+	want := []time.Duration{1, 2, 3, 4, 5, 0, 1, 2}
+	for i := range want {
+		want[i] *= time.Minute
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("ages (-want +got):\n%s", diff)
+	}
+}
+
+func BenchmarkAdaptive(b *testing.B) {
+	m, loads := model(b, 60, 128, 2, 64)
+	for b.Loop() {
+		_, err := (&Adaptive{}).Plan(noon, m, loads)
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/expert/recovery.go
+++ b/expert/recovery.go
@@ -3,7 +3,7 @@
 import "github.com/foxtailstack/foxtailstack"
 
 // inquiryBatch is the number of peers that a recovering member asks at a tick.
-const inquiryBatch = 4
+const inquiryBatch = 2
 
 // recovery is what a restarted member gathers before its first step.
 type recovery struct {
