--- a/expert/placement.go
+++ b/expert/placement.go
@@ -82,13 +82,13 @@
 	if p.mean == 0 {
 		return change{}, false
 	}
-	order := p.order()
-	hot := order[len(order)-1]
+	hot := p.hot()
+	cools := p.coolest(hot)
 	var best change
 	gain := potentialGain * p.potential(p.loads[hot])
 	for _, fromSlot := range p.hottest(hot) {
 		e := p.layer[hot][fromSlot]
-		for _, cool := range order[:min(coolRanks, len(order)-1)] {
+		for _, cool := range cools {
 			if holds(p.layer[cool], e) {
 				continue
 			}
@@ -114,19 +114,33 @@
 	return best, best.expert != best.gone
 }
 
-// order returns the ranks from the least to the most loaded.
-func (p *placement) order() []int {
-	order := make([]int, len(p.loads))
-	for r := range order {
-		order[r] = r
+// hot returns the most loaded rank.
+func (p *placement) hot() int {
+	hot := 0
+	for r, load := range p.loads {
+		if load > p.loads[hot] {
+			hot = r
+		}
 	}
-	sort.Slice(order, func(i, j int) bool {
-		if p.loads[order[i]] != p.loads[order[j]] {
-			return p.loads[order[i]] < p.loads[order[j]]
+	return hot
+}
+
+// coolest returns the least loaded ranks but for hot, in order.
+func (p *placement) coolest(hot int) []int {
+	ranks := make([]int, 0, coolRanks+1)
+	for r, load := range p.loads {
+		if r == hot || len(ranks) == coolRanks && load >= p.loads[ranks[coolRanks-1]] {
+			continue
 		}
-		return order[i] < order[j]
-	})
-	return order
+		i := len(ranks)
+		ranks = append(ranks, r)
+		for ; i > 0 && p.loads[ranks[i-1]] > load; i-- {
+			ranks[i] = ranks[i-1]
+		}
+		ranks[i] = r
+		ranks = ranks[:min(coolRanks, len(ranks))]
+	}
+	return ranks
 }
 
 // hottest returns the slots of a rank that carry most.
