--- a/expert/adaptive.go
+++ b/expert/adaptive.go
@@ -68,11 +68,11 @@
 		age := min(loads[l].Age, now.Sub(a.changed[l]))
 		o := a.offer(layer, loads[l].Tokens, age.Seconds()/float64(len(loads)))
 		if o.net > 0 {
-			o.layer = l
+			o.index = l
 			offers = append(offers, o)
 		}
 	}
-	return a.accept(now, current, loads, offers), nil
+	return a.accept(now, current, offers), nil
 }
 
 // quiet reports whether now is in a quiet hour.
@@ -85,16 +85,17 @@
 	return false
 }
 
-// offer is the best sequence of changes to one layer.
+// offer is the best change of one layer.
 type offer struct {
-	layer   int
-	changes []change
-	moves   int
+	index int
+	layer foxtailstack.ExpertLayer
+	moves int
 	// net is the step time won over the moves' cost, both weighted, in seconds.
 	net float64
 }
 
-// offer looks for changes to a layer. worth is the step time in seconds that a
+// offer looks for changes to a layer: a few that lower the load of the hottest
+// ranks, or a new placement on the ranks that hold most of it. worth is the step time in seconds that a
 // skew higher by one has cost.
 func (a *Adaptive) offer(layer foxtailstack.ExpertLayer, tokens []float64, worth float64) offer {
 	worth *= weight(a.Skew)
@@ -103,10 +104,29 @@
 	if (skew-1)*worth <= cost {
 		return offer{}
 	}
+	best := a.consider(offer{}, layer, a.search(layer, tokens, skew, worth, cost), tokens, skew, worth, cost)
+	return a.consider(best, layer, match(layer, pack(layer, tokens)), tokens, skew, worth, cost)
+}
+
+// consider returns the better of an offer and another layer.
+func (a *Adaptive) consider(best offer, layer, next foxtailstack.ExpertLayer, tokens []float64, skew, worth, cost float64) offer {
+	moves := Moves(layer, next)
+	net := (skew-Skew(RankLoads(next, tokens)))*worth - float64(moves)*cost
+	if net <= best.net || (a.Cap > 0 && moves > a.Cap) {
+		return best
+	}
+	return offer{
+		layer: next,
+		moves: moves,
+		net:   net,
+	}
+}
+
+// search returns the best layer on the way of a greedy search from layer.
+func (a *Adaptive) search(layer foxtailstack.ExpertLayer, tokens []float64, skew, worth, cost float64) foxtailstack.ExpertLayer {
 	p := newPlacement(layer, tokens)
-	var best offer
 	var changes []change
-	moves := 0
+	best, most, moves := 0, 0.0, 0
 	for range maxChanges {
 		c, ok := p.improve()
 		if !ok {
@@ -116,19 +136,19 @@
 		changes = append(changes, c)
 		moves += c.moves()
 		net := (skew-Skew(p.loads))*worth - float64(moves)*cost
-		if net > best.net && (a.Cap == 0 || moves <= a.Cap) {
-			best = offer{
-				changes: changes[:len(changes):len(changes)],
-				moves:   moves,
-				net:     net,
-			}
+		if net > most && (a.Cap == 0 || moves <= a.Cap) {
+			best, most = len(changes), net
 		}
 	}
-	return best
+	p = newPlacement(layer, tokens)
+	for _, c := range changes[:best] {
+		p.apply(c)
+	}
+	return p.layer
 }
 
 // accept makes the offers that win most for each move, within the cap.
-func (a *Adaptive) accept(now time.Time, current foxtailstack.ExpertMap, loads []foxtailstack.ExpertLoad, offers []offer) foxtailstack.ExpertMap {
+func (a *Adaptive) accept(now time.Time, current foxtailstack.ExpertMap, offers []offer) foxtailstack.ExpertMap {
 	sort.SliceStable(offers, func(i, j int) bool {
 		return offers[i].net*float64(offers[j].moves) > offers[j].net*float64(offers[i].moves)
 	})
@@ -143,12 +163,8 @@
 			next.Layers = append([]foxtailstack.ExpertLayer(nil), current.Layers...)
 		}
 		moves += o.moves
-		p := newPlacement(current.Layers[o.layer], loads[o.layer].Tokens)
-		for _, c := range o.changes {
-			p.apply(c)
-		}
-		next.Layers[o.layer] = p.layer
-		a.changed[o.layer] = now
+		next.Layers[o.index] = o.layer
+		a.changed[o.index] = now
 	}
 	return next
 }
--- a/expert/placement.go
+++ b/expert/placement.go
@@ -88,6 +88,20 @@
 	gain := potentialGain * p.potential(p.loads[hot])
 	for _, fromSlot := range p.hottest(hot) {
 		e := p.layer[hot][fromSlot]
+		for x := range p.tokens {
+			c := change{
+				rank:   hot,
+				slot:   fromSlot,
+				expert: foxtailstack.Expert(x),
+				gone:   e,
+			}
+			if holds(p.layer[hot], c.expert) {
+				continue
+			}
+			if won := p.replicateGain(c); won > gain {
+				best, gain = c, won
+			}
+		}
 		for _, cool := range cools {
 			if holds(p.layer[cool], e) {
 				continue
--- a/expert/repack.go
+++ b/expert/repack.go
@@ -157,3 +157,65 @@
 	}
 	return false
 }
+
+// overlap is how many experts a rank holds of those placed together.
+type overlap struct {
+	group, rank, experts int
+}
+
+// match deals the groups of experts in next to the ranks that hold most of them,
+// the best fit first. Ranks with other numbers of slots than a group has are not
+// considered.
+func match(layer, next foxtailstack.ExpertLayer) foxtailstack.ExpertLayer {
+	matched := make(foxtailstack.ExpertLayer, len(layer))
+	dealt := make([]bool, len(next))
+	for _, o := range overlaps(layer, next) {
+		if !dealt[o.group] && matched[o.rank] == nil && len(next[o.group]) == len(layer[o.rank]) {
+			dealt[o.group] = true
+			matched[o.rank] = next[o.group]
+		}
+	}
+	for g := range next {
+		for r := 0; r < len(matched) && !dealt[g]; r++ {
+			if matched[r] == nil && len(next[g]) == len(layer[r]) {
+				dealt[g] = true
+				matched[r] = next[g]
+			}
+		}
+		if !dealt[g] {
+			return layer
+		}
+	}
+	return matched
+}
+
+// overlaps returns the overlaps of groups and ranks, the largest first.
+func overlaps(layer, next foxtailstack.ExpertLayer) []overlap {
+	homes := map[foxtailstack.Expert][]int{}
+	for r, slots := range layer {
+		for _, e := range slots {
+			homes[e] = append(homes[e], r)
+		}
+	}
+	var all []overlap
+	count := make([]int, len(layer))
+	for g, slots := range next {
+		clear(count)
+		for _, e := range slots {
+			for _, r := range homes[e] {
+				count[r]++
+			}
+		}
+		for r, n := range count {
+			if n > 0 {
+				all = append(all, overlap{
+					group:   g,
+					rank:    r,
+					experts: n,
+				})
+			}
+		}
+	}
+	sort.SliceStable(all, func(i, j int) bool { return all[i].experts > all[j].experts })
+	return all
+}
