Count each layer of the expert experiment as one of sixty

A layer's skew counts for 1/60 of a step in a full model, for 1/4 in the experiment, so that moves paid 15 times too easily.

--- a/measure/expert.go
+++ b/measure/expert.go
@@ -14,6 +14,7 @@
 
 const (
 	expertCount    = 64
+	expertLayers   = 60
 	expertInterval = 2 * time.Minute
 	expertBytes    = foxtailstack.Bytes(44 << 20)
 	expertStep     = 71 * time.Millisecond
@@ -38,14 +39,20 @@
 	length time.Duration
 }
 
+// cost returns the step time that a move costs: the layers of the experiment
+// stand for all layers of a model, of which each counts for less.
+func (s expertSize) cost() time.Duration {
+	return expertLoading * expertLayers / time.Duration(s.layers)
+}
+
 // expertQuiet are the quiet hours of the cost-weighted setting.
 var expertQuiet = []int{8, 9, 10, 15, 16}
 
 // expertPolicy is a planner under test.
 type expertPolicy struct {
 	name string
-	// make returns a planner that has planned nothing.
-	make func() foxtailstack.Planner
+	// make returns a planner that has planned nothing, given the cost of a move.
+	make func(cost time.Duration) foxtailstack.Planner
 }
 
 // expertPolicies returns the policies in the order of the report.
@@ -53,21 +60,27 @@
 	return []expertPolicy{
 		{
 			name: "static",
-			make: func() foxtailstack.Planner { return expert.Static{} },
+			make: func(time.Duration) foxtailstack.Planner { return expert.Static{} },
 		},
 		{
 			name: "repack",
-			make: func() foxtailstack.Planner { return expert.Repack{} },
+			make: func(time.Duration) foxtailstack.Planner { return expert.Repack{} },
 		},
 		{
 			name: "skew",
-			make: func() foxtailstack.Planner { return &expert.Adaptive{Skew: 4} },
+			make: func(cost time.Duration) foxtailstack.Planner {
+				return &expert.Adaptive{
+					Skew: 4,
+					Cost: cost,
+				}
+			},
 		},
 		{
 			name: "moves",
-			make: func() foxtailstack.Planner {
+			make: func(cost time.Duration) foxtailstack.Planner {
 				return &expert.Adaptive{
 					Moves: 4,
+					Cost:  cost,
 					Cap:   64,
 					Quiet: expertQuiet,
 				}
@@ -101,7 +114,7 @@
 		for _, drift := range []string{"drift", "jump", "swing"} {
 			results := map[string]expertResult{}
 			for _, policy := range expertPolicies() {
-				result, err := simulateExpert(ctx, options.Seed, drift, ranks, size, policy.make())
+				result, err := simulateExpert(ctx, options.Seed, drift, ranks, size, policy.make(size.cost()))
 				if err != nil {
 					return fmt.Errorf("policy %s: %w", policy.name, err)
 				}
