--- a/measure/expert.go
+++ b/measure/expert.go
@@ -70,7 +70,7 @@
 			name: "skew",
 			make: func(cost time.Duration) foxtailstack.Planner {
 				return &expert.Adaptive{
-					Skew: 4,
+					Skew: 12,
 					Cost: cost,
 				}
 			},
