--- a/expert/adaptive.go
+++ b/expert/adaptive.go
@@ -13,9 +13,6 @@
 	defaultCost = 100 * time.Millisecond
 	// maxChanges bounds the changes considered for one layer in one plan.
 	maxChanges = 32
-	// minGain is the least gain in skew worth a change; less is lost in the noise
-	// of the loads.
-	minGain = 0.01
 )
 
 // Adaptive changes the present map only where it pays: a change is made once the
@@ -114,9 +111,8 @@
 // consider returns the better of an offer and another layer.
 func (a *Adaptive) consider(best offer, layer, next foxtailstack.ExpertLayer, tokens []float64, skew, worth, cost float64) offer {
 	moves := Moves(layer, next)
-	gain := skew - Skew(RankLoads(next, tokens))
-	net := gain*worth - float64(moves)*cost
-	if gain < minGain || net <= best.net || (a.Cap > 0 && moves > a.Cap) {
+	net := (skew-Skew(RankLoads(next, tokens)))*worth - float64(moves)*cost
+	if net <= best.net || (a.Cap > 0 && moves > a.Cap) {
 		return best
 	}
 	return offer{
