--- a/measure/measure.go
+++ b/measure/measure.go
@@ -54,6 +54,7 @@
 	"path":     Path,
 	"overload": Overload,
 	"route":    Route,
+	"expert":   Expert,
 }
 
 // Names returns the names of all experiments in order.
