--- a/measure/plot.go
+++ b/measure/plot.go
@@ -96,15 +96,15 @@
 	return nil
 }
 
-// mean is a running mean.
-type mean struct {
+// average is a running mean.
+type average struct {
 	sum float64
 	n   int
 }
 
 // curvesOf returns the points of each policy in the order of x.
 func curvesOf(lines []Line, chosen Axes) map[string]plotter.XYs {
-	means := map[string]map[float64]mean{}
+	means := map[string]map[float64]average{}
 	for _, line := range lines {
 		policy := ""
 		numbers := map[string]float64{}
@@ -122,10 +122,10 @@
 			continue
 		}
 		if means[policy] == nil {
-			means[policy] = map[float64]mean{}
+			means[policy] = map[float64]average{}
 		}
 		m := means[policy][x]
-		means[policy][x] = mean{
+		means[policy][x] = average{
 			sum: m.sum + y,
 			n:   m.n + 1,
 		}
