Tell a passed attempt to a rank that lacks one yes of a former life

Cause: a sealed rank knew that every rank held every yes, but lacked the yes of a rank that had since been replaced, which counts only from that rank itself. The replaced rank answered only peers that lacked a confirmation, so the sealed one asked for ever and held the group. Ruled out: deciding on the confirmations alone, which would drop the rule that a barred life's yes needs its rank. Conclusion: a rank answers until its peer holds every yes and confirmation.

--- a/expert/vote.go
+++ b/expert/vote.go
@@ -10,7 +10,7 @@
 	case v.No:
 		// An attempt that this rank has not said yes to has failed.
 	case v.ID == m.state.ID:
-		if v.Full != All(m.size) {
+		if v.Full != All(m.size) || v.Yes != All(m.size) {
 			m.send(from, Message{Vote: m.passed(v)})
 		}
 	case !m.state.Ballot.Before(v.Ballot):
