--- a/expert/layer.go
+++ b/expert/layer.go
@@ -74,12 +74,8 @@
 func Moves(current, next foxtailstack.ExpertLayer) int {
 	n := 0
 	for r := range next {
-		held := map[foxtailstack.Expert]bool{}
-		for _, e := range current[r] {
-			held[e] = true
-		}
 		for _, e := range next[r] {
-			if !held[e] {
+			if !holds(current[r], e) {
 				n++
 			}
 		}
--- a/expert/placement.go
+++ b/expert/placement.go
@@ -41,7 +41,8 @@
 	// homes are the ranks that hold each expert.
 	homes [][]int
 	loads []float64
-	mean  float64
+	// scale is one over the mean load, or zero without load.
+	scale float64
 }
 
 // newPlacement returns a copy of layer for a search.
@@ -52,12 +53,16 @@
 		homes:  make([][]int, len(tokens)),
 		loads:  RankLoads(layer, tokens),
 	}
+	sum := 0.0
 	for r, slots := range layer {
 		p.layer[r] = append([]foxtailstack.Expert(nil), slots...)
 		for _, e := range slots {
 			p.homes[e] = append(p.homes[e], r)
 		}
-		p.mean += p.loads[r] / float64(len(layer))
+		sum += p.loads[r]
+	}
+	if sum > 0 {
+		p.scale = float64(len(layer)) / sum
 	}
 	return p
 }
@@ -71,7 +76,7 @@
 // a high power, so that the hottest ranks count most and a rank below the
 // hottest still counts.
 func (p *placement) potential(load float64) float64 {
-	x := load / p.mean
+	x := load * p.scale
 	x *= x
 	x *= x
 	return x * x
@@ -79,7 +84,7 @@
 
 // improve returns the change that lowers the potential most for each move.
 func (p *placement) improve() (change, bool) {
-	if p.mean == 0 {
+	if p.scale == 0 {
 		return change{}, false
 	}
 	hot := p.hot()
@@ -88,20 +93,6 @@
 	gain := potentialGain * p.potential(p.loads[hot])
 	for _, fromSlot := range p.hottest(hot) {
 		e := p.layer[hot][fromSlot]
-		for x := range p.tokens {
-			c := change{
-				rank:   hot,
-				slot:   fromSlot,
-				expert: foxtailstack.Expert(x),
-				gone:   e,
-			}
-			if holds(p.layer[hot], c.expert) {
-				continue
-			}
-			if won := p.replicateGain(c); won > gain {
-				best, gain = c, won
-			}
-		}
 		for _, cool := range cools {
 			if holds(p.layer[cool], e) {
 				continue
--- a/expert/repack.go
+++ b/expert/repack.go
@@ -158,9 +158,9 @@
 	return false
 }
 
-// overlap is how many experts a rank holds of those placed together.
+// overlap is a rank that holds experts of those placed together.
 type overlap struct {
-	group, rank, experts int
+	group, rank int
 }
 
 // match deals the groups of experts in next to the ranks that hold most of them,
@@ -191,13 +191,16 @@
 
 // overlaps returns the overlaps of groups and ranks, the largest first.
 func overlaps(layer, next foxtailstack.ExpertLayer) []overlap {
-	homes := map[foxtailstack.Expert][]int{}
+	var homes [][]int
 	for r, slots := range layer {
 		for _, e := range slots {
+			for int(e) >= len(homes) {
+				homes = append(homes, nil)
+			}
 			homes[e] = append(homes[e], r)
 		}
 	}
-	var all []overlap
+	byExperts := make([][]overlap, 1)
 	count := make([]int, len(layer))
 	for g, slots := range next {
 		clear(count)
@@ -207,15 +210,20 @@
 			}
 		}
 		for r, n := range count {
+			for n >= len(byExperts) {
+				byExperts = append(byExperts, nil)
+			}
 			if n > 0 {
-				all = append(all, overlap{
-					group:   g,
-					rank:    r,
-					experts: n,
+				byExperts[n] = append(byExperts[n], overlap{
+					group: g,
+					rank:  r,
 				})
 			}
 		}
 	}
-	sort.SliceStable(all, func(i, j int) bool { return all[i].experts > all[j].experts })
+	var all []overlap
+	for n := len(byExperts) - 1; n > 0; n-- {
+		all = append(all, byExperts[n]...)
+	}
 	return all
 }
