--- a/command/root.go
+++ b/command/root.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -23,8 +24,7 @@
 
 // Main runs the command with its arguments and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx := stopped()
 	root := newRoot()
 	root.SetArgs(args)
 	root.SetOut(stdout)
@@ -34,12 +34,25 @@
 		return ExitOK
 	}
 	fmt.Fprintf(stderr, "foxtailstack: %v\n", err)
-	if errors.Is(err, errUsage) {
+	if isUsage(err) {
 		return ExitUsage
 	}
 	return ExitFailure
 }
 
+// stopped returns a context that ends when the process is told to stop. Later
+// signals have no effect, so that a planned stop always exits in its own way.
+func stopped() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		cancel()
+	}()
+	return ctx
+}
+
 // newRoot returns the command with all its subcommands.
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
@@ -50,7 +63,9 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
 	root.AddCommand(newEntry(), newSidecar(), newStandin(), newDemo(), newKeys())
-	root.AddCommand(newApply(), newGet(), newMeasure())
+	root.AddCommand(newApply(), newGet(), newDelete(), newWatch())
+	root.AddCommand(newMeasure(), newCheck(), newVersion(), newTimeline(), newLoad())
+	root.AddCommand(newBooking())
 	return root
 }
 
--- a/engine.go
+++ b/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 )
@@ -13,6 +14,9 @@
 	ErrEngineRefused = errors.New("engine refused the call")
 	// ErrEngineFailed means that the engine broke off after it saw the call.
 	ErrEngineFailed = errors.New("engine failed")
+	// ErrEngineLost means that the connection to the engine broke. It wraps
+	// ErrEngineFailed.
+	ErrEngineLost = fmt.Errorf("connection lost: %w", ErrEngineFailed)
 	// ErrEngineMismatch means that the answer belongs to another attempt.
 	ErrEngineMismatch = errors.New("engine answered another attempt")
 	// ErrEngineFenced means that the engine has seen a higher fencing number.
@@ -34,8 +38,11 @@
 	Stream bool
 	// Resume is the number of events that the caller already has.
 	Resume uint64
-	// Fencing is the number of the claim; zero for idempotent calls.
+	// Fencing is the number of the claim among the claims of Booking; zero for
+	// idempotent calls.
 	Fencing FencingNumber
+	// Booking is the key that the call is made under; empty for idempotent calls.
+	Booking string
 }
 
 // EngineAnswer is the answer of an engine. The receiver closes Body.
--- a/fleet/poller.go
+++ b/fleet/poller.go
@@ -3,45 +3,28 @@
 import (
 	"context"
 	"errors"
-	"time"
 )
 
-// pollInterval is the time between two reads of the change log.
-const pollInterval = 250 * time.Millisecond
-
 // Poller brings a replica up to date from the table.
 type Poller struct {
 	Store   Store
 	Replica *Replica
 }
 
-// Run polls until ctx ends.
-func (p Poller) Run(ctx context.Context) {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
-		_ = p.Poll(ctx) // the next poll tries again
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 // Poll applies what the table has and the replica lacks.
 func (p Poller) Poll(ctx context.Context) error {
-	if p.Replica.Snapshot().Revision == 0 {
+	revision := p.Replica.Snapshot().Revision
+	if revision == 0 {
 		return p.load(ctx)
 	}
-	changes, err := p.Store.Since(ctx, p.Replica.Snapshot().Revision)
+	changes, err := p.Store.Since(ctx, revision)
 	if errors.Is(err, ErrGap) {
 		return p.load(ctx)
 	}
 	if err != nil {
 		return err
 	}
-	return p.Replica.Apply(changes, 0)
+	return p.Replica.Apply(changes)
 }
 
 // load applies the whole configuration.
@@ -50,5 +33,5 @@
 	if err != nil {
 		return err
 	}
-	return p.Replica.Apply(changes, revision)
+	return p.Replica.Load(changes, revision)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -5,11 +5,14 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/booking"
+	"github.com/foxtailstack/foxtailstack/fleet"
 	"github.com/foxtailstack/foxtailstack/keys"
 	"github.com/foxtailstack/foxtailstack/platform"
 	"github.com/foxtailstack/foxtailstack/settings"
@@ -21,6 +24,9 @@
 const (
 	// defaultGrace is the time for requests in progress when stopping.
 	defaultGrace = 30 * time.Second
+	// linger is how long a process that stops goes on refusing new work in
+	// words, until those that send it have noticed.
+	linger = 500 * time.Millisecond
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 10 * time.Second
 	// maxHeader is the length of the longest header of a request in bytes.
@@ -30,18 +36,22 @@
 // base is what every process has.
 type base struct {
 	settings settings.Settings
+	life     *life
 	log      *zap.Logger
 	ring     *timeline.Ring
 	table    foxtailstack.Table
+	objects  foxtailstack.ObjectStore
 	client   *wire.Client
 	mux      wire.Mux
 	peers    net.Addr
+	status   net.Listener
 }
 
 // newBase connects a process to the platform and to its peers.
 func newBase(cfg settings.Settings, config keys.Config, log *zap.Logger) *base {
 	return &base{
 		settings: cfg,
+		life:     newLife(log),
 		log:      log,
 		ring:     &timeline.Ring{Instance: cfg.Name},
 		table: platform.NewDynamo(platform.Endpoint{
@@ -50,14 +60,33 @@
 			Access: cfg.Platform.Access,
 			Secret: cfg.Platform.Secret,
 		}, cfg.Platform.Name),
+		objects: platform.NewS3(platform.Endpoint{
+			URL:    cfg.Platform.Objects,
+			Region: cfg.Platform.Region,
+			Access: cfg.Platform.Access,
+			Secret: cfg.Platform.Secret,
+		}, cfg.Platform.Bucket),
 		client: wire.NewClient(config.Peer),
 	}
 }
 
-// listenPeers binds the address for other processes.
+// recorder returns the recorder of bookings.
+func (b *base) recorder() booking.Recorder {
+	return booking.Recorder{
+		Table:   b.table,
+		Objects: b.objects,
+	}
+}
+
+// listenPeers binds the addresses for other processes and for the status.
 func (b *base) listenPeers(config keys.Config) error {
+	b.mux.Handle(timeline.StreamEvents, b.ring.ServeEvents)
 	addr, err := b.mux.Listen(string(b.settings.Listen.Peers), config.Peer)
+	if err != nil {
+		return err
+	}
 	b.peers = addr
+	b.status, err = listenStatus(b.settings.Listen.Status)
 	return err
 }
 
@@ -69,6 +98,32 @@
 	return defaultGrace
 }
 
+// awaitConfig makes the process ready once it has a configuration.
+func (b *base) awaitConfig(ctx context.Context, replica *fleet.Replica) {
+	for {
+		changed := replica.Changed()
+		if replica.Snapshot().Revision > 0 {
+			b.life.fire(stepServe)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// serveReady answers 200 if the process takes new work and 503 if not.
+func (b *base) serveReady(w http.ResponseWriter, _ *http.Request) {
+	phase := b.life.Phase()
+	w.Header().Set("Content-Type", "text/plain")
+	if phase != Serving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_, _ = io.WriteString(w, string(phase)+"\n") // the checker may be gone
+}
+
 // listenHTTP binds a TCP address, with TLS unless plain is set.
 func listenHTTP(address foxtailstack.Address, cfg *tls.Config, plain bool) (net.Listener, error) {
 	listener, err := net.Listen("tcp", string(address))
@@ -83,9 +138,15 @@
 	return tls.NewListener(listener, own), nil
 }
 
-// serveHTTP serves until ctx ends and then lets the requests in progress finish
-// within the grace period.
-func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler, grace time.Duration) error {
+// serveHTTP serves until ctx ends and drain, unless it is nil, has returned. It
+// then lets the requests in progress finish within the grace period.
+func serveHTTP(
+	ctx context.Context,
+	listener net.Listener,
+	handler http.Handler,
+	grace time.Duration,
+	drain func(ctx context.Context) error,
+) error {
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
@@ -96,7 +157,11 @@
 		<-ctx.Done()
 		limited, cancel := context.WithTimeout(context.Background(), grace)
 		defer cancel()
-		stopped <- server.Shutdown(limited)
+		var err error
+		if drain != nil {
+			err = drain(limited)
+		}
+		stopped <- errors.Join(err, server.Shutdown(limited))
 	}()
 	err := server.Serve(listener)
 	if !errors.Is(err, http.ErrServerClosed) {
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -21,8 +21,11 @@
 // Sidecar is the process beside an upstream.
 type Sidecar struct {
 	*base
-	replica *fleet.Replica
-	gate    *upstream.Gate
+	replica  *fleet.Replica
+	spreader *fleet.Spreader
+	gate     *upstream.Gate
+	server   *upstream.Server
+	flusher  *booking.Flusher
 }
 
 // NewSidecar binds the address of a sidecar.
@@ -32,20 +35,30 @@
 		replica: &fleet.Replica{},
 		gate:    upstream.NewGate(cfg.Upstream.Slots),
 	}
-	server := &upstream.Server{
+	s.server = &upstream.Server{
 		Upstream:    cfg.Upstream.Name,
 		Incarnation: foxtailstack.NewIncarnation(),
 		Engine:      upstream.NewHTTPEngine(cfg.Upstream.Engine),
 		Gate:        s.gate,
 		Ledger:      &booking.Ledger{},
-		Recorder:    booking.Recorder{Table: s.table},
 		Ring:        s.ring,
 	}
-	s.mux.Handle(upstream.StreamAttempt, server.ServeAttempt)
+	s.gate.SetWeight(func(name foxtailstack.TeamName) float64 {
+		return s.replica.Snapshot().Teams[name].Weight
+	})
+	s.flusher = &booking.Flusher{
+		Recorder:   s.recorder(),
+		Ledger:     s.server.Ledger,
+		Superseded: s.logSuperseded,
+	}
+	s.server.Flusher = s.flusher
+	s.mux.Handle(upstream.StreamAttempt, s.server.ServeAttempt)
+	s.mux.Handle(upstream.StreamProbe, s.server.ServeProbe)
 	responder := booking.Responder{
-		Incarnation: server.Incarnation,
-		Ledger:      server.Ledger,
+		Incarnation: s.server.Incarnation,
+		Ledger:      s.server.Ledger,
 	}
+	s.spreader = s.newSpreader(foxtailstack.RoleSidecar, s.replica)
 	s.mux.Handle(booking.StreamInquiry, responder.ServeInquiry)
 	return s, s.listenPeers(config)
 }
@@ -60,12 +73,12 @@
 	s.log.Info("sidecar started", zap.Stringer("peers", s.peers), zap.String("upstream", s.settings.Upstream.Name))
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	poller := fleet.Poller{
-		Store:   fleet.Store{Table: s.table},
-		Replica: s.replica,
-	}
-	go poller.Run(background)
+	go s.spreader.Run(background)
+	go s.serveStatus(background)
 	go s.follow(background)
+	go s.server.Watch(background)
+	go s.reconciler().Run(background)
+	go s.awaitConfig(background, s.replica)
 	served := make(chan error, 1)
 	go func() { served <- s.mux.Serve(background) }()
 	select {
@@ -73,19 +86,57 @@
 		return err
 	case <-ctx.Done():
 	}
-	select {
-	case <-s.gate.Drain():
-	case <-time.After(s.grace()):
-		return ErrGrace
-	}
+	err := s.drain()
+	s.flusher.Close()
 	cancel()
-	err := <-served
+	err = errors.Join(err, <-served)
 	s.client.Close()
+	s.life.fire(stepStop)
 	s.log.Info("sidecar stopped")
 	return err
 }
 
-// follow keeps the gate as wide as the configuration says.
+// logSuperseded logs a result that contradicts what an operator has settled.
+func (s *Sidecar) logSuperseded(result booking.Result) {
+	s.log.Error("booking was settled before its result came",
+		zap.String("team", string(result.Key.Team)),
+		zap.Stringer("service", result.Key.Service),
+		zap.String("key", result.Key.Idempotency),
+		zap.Stringer("attempt", result.Claim.Attempt),
+		zap.Bool("ran", !result.Failed))
+}
+
+// drain refuses new attempts and waits until those in progress have ended and
+// the entries have taken their answers.
+func (s *Sidecar) drain() error {
+	s.life.fire(stepDrain)
+	lingered := time.After(linger)
+	ctx, cancel := context.WithTimeout(context.Background(), s.grace())
+	defer cancel()
+	select {
+	case <-s.gate.Drain():
+	case <-ctx.Done():
+		return ErrGrace
+	}
+	unwritten := s.flusher.Wait(ctx)
+	for _, key := range unwritten {
+		s.log.Error("booking has no record",
+			zap.String("team", string(key.Team)),
+			zap.Stringer("service", key.Service),
+			zap.String("key", key.Idempotency))
+	}
+	if len(unwritten) > 0 {
+		return ErrGrace
+	}
+	<-lingered
+	err := s.mux.Drain(ctx, upstream.StreamAttempt, booking.StreamInquiry)
+	if err != nil {
+		return ErrGrace
+	}
+	return nil
+}
+
+// follow keeps the gate as wide as the configuration says, and open or shut.
 func (s *Sidecar) follow(ctx context.Context) {
 	id, err := fleet.ParseUpstreamID(s.settings.Upstream.Name)
 	if err != nil {
@@ -97,6 +148,7 @@
 		member, ok := s.replica.Snapshot().Upstreams[id.ServiceID][id.Upstream]
 		if ok {
 			s.gate.Resize(member.Slots)
+			s.server.SetDrain(member.Drain)
 		}
 		select {
 		case <-ctx.Done():
@@ -105,3 +157,34 @@
 		}
 	}
 }
+
+// reconciler returns what orders the engine to load what its service declares.
+func (s *Sidecar) reconciler() *upstream.Reconciler {
+	return &upstream.Reconciler{
+		Holder: &upstream.Holder{
+			Table:       s.table,
+			Upstream:    s.settings.Upstream.Name,
+			Incarnation: s.server.Incarnation,
+		},
+		Engine:  s.server.Engine,
+		Want:    s.want,
+		Changed: s.replica.Changed,
+		Ring:    s.ring,
+	}
+}
+
+// want returns what the engine is to have loaded. Plain services load nothing.
+func (s *Sidecar) want() (upstream.Want, bool) {
+	id, err := fleet.ParseUpstreamID(s.settings.Upstream.Name)
+	if err != nil {
+		return upstream.Want{}, false
+	}
+	snapshot := s.replica.Snapshot()
+	service, ok := snapshot.Services[id.ServiceID]
+	return upstream.Want{
+		Revision: snapshot.Revision,
+		Model:    service.Model,
+		Adapter:  service.Adapter,
+		Version:  service.Version,
+	}, ok && service.Model != ""
+}
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/foxtailstack/foxtailstack/team"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -25,6 +28,15 @@
 	poll = 10 * time.Millisecond
 )
 
+// Ports of the processes.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
+// operatorToken is the token of the first admin.
+const operatorToken = "operator-token"
+
 var errUsage = errors.New("wrong arguments")
 
 // process is one process of the binary.
@@ -57,7 +69,9 @@
 type system struct {
 	dir       string
 	processes map[string]*process
+	links     map[string]*link
 	answers   map[string]chan answer
+	loads     map[string]chan loadResult
 	last      answer
 }
 
@@ -70,7 +84,9 @@
 	return &system{
 		dir:       dir,
 		processes: map[string]*process{},
+		links:     map[string]*link{},
 		answers:   map[string]chan answer{},
+		loads:     map[string]chan loadResult{},
 	}, nil
 }
 
@@ -102,7 +118,10 @@
 		return s.launch(args[1], peers, "", "sidecar", "--settings", path)
 	case args[0] == "entry" && len(args) == 2:
 		callers := freeAddress()
-		path, err := s.writeSettings(args[1], fmt.Sprintf("[listen]\ncallers = %q\npeers = %q\n", callers, s.peerAddress(args[1])))
+		path, err := s.writeSettings(args[1], fmt.Sprintf(
+			"[listen]\ncallers = %q\npeers = %q\n[operators]\nhash = %q\n",
+			callers, s.peerAddress(args[1]), team.Hash(operatorToken),
+		))
 		if err != nil {
 			return err
 		}
@@ -193,7 +212,7 @@
 // stop ends a process by SIGTERM and checks that it exits with 0.
 func (s *system) stop(_ *testscript.TestScript, args []string) error {
 	p, err := s.signal(args, syscall.SIGTERM)
-	if err != nil {
+	if err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return err
 	}
 	select {
@@ -205,6 +224,41 @@
 	}
 }
 
+// ready waits until an entry takes new work.
+func (s *system) ready(_ *testscript.TestScript, args []string) error {
+	if len(args) != 1 || s.processes[args[0]] == nil {
+		return errUsage
+	}
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	return await(startTimeout, func() bool {
+		response, err := client.Get(s.processes[args[0]].url + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+// insist sends SIGTERM over and over until a process ends; it must exit with 0.
+func (s *system) insist(_ *testscript.TestScript, args []string) error {
+	for {
+		p, err := s.signal(args, syscall.SIGTERM)
+		if p == nil {
+			return err
+		}
+		select {
+		case err = <-p.exited:
+			p.exited <- err
+			return err
+		default:
+		}
+	}
+}
+
 // kill ends a process by SIGKILL.
 func (s *system) kill(_ *testscript.TestScript, args []string) error {
 	p, err := s.signal(args, syscall.SIGKILL)
@@ -226,20 +280,33 @@
 
 // close ends all processes.
 func (s *system) close() {
+	for _, l := range s.links {
+		l.close()
+	}
 	for _, p := range s.processes {
 		_ = p.cmd.Process.Kill()
 		<-p.exited
 	}
 }
 
-// freeAddress returns a loopback address whose port is free.
+// freeAddress returns a loopback address whose port is free for TCP and UDP. It
+// lies below the ports that the kernel gives to connections, one of which could
+// take it before a process listens.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		packets, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		_ = packets.Close()
+		return address
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 // await waits until ready returns true.
--- a/wire/mux.go
+++ b/wire/mux.go
@@ -16,42 +16,81 @@
 	// protocol is the name that both ends agree on in the handshake.
 	protocol = "foxtailstack/1"
 
-	keepAlive      = 2 * time.Second
-	idleTimeout    = 6 * time.Second
+	// keepAlive is the time between two packets on an idle connection.
+	keepAlive = 10 * time.Second
+	// idleTimeout ends a connection whose peer is silent.
+	idleTimeout = 25 * time.Second
+	// heartbeatInterval is the time between two heartbeats on a stream whose
+	// handler sends nothing.
+	heartbeatInterval = time.Second
+	// maxSilence ends a stream whose peer sends not even heartbeats.
+	maxSilence = 3 * time.Second
+
 	helloTimeout   = 5 * time.Second
 	connectTimeout = 2 * time.Second
+	finishTimeout  = 5 * time.Second
 
 	maxStreams = 1 << 16
 )
 
-// quicConfig returns the settings of a connection.
-func quicConfig() *quic.Config {
+// serverConfig returns the settings of the end that accepts a connection.
+func serverConfig() *quic.Config {
 	return &quic.Config{
 		MaxIdleTimeout:        idleTimeout,
-		KeepAlivePeriod:       keepAlive,
 		HandshakeIdleTimeout:  connectTimeout,
 		MaxIncomingStreams:    maxStreams,
 		MaxIncomingUniStreams: -1,
 	}
 }
 
+// clientConfig returns the settings of the end that makes a connection, which
+// also keeps it alive.
+func clientConfig() *quic.Config {
+	cfg := serverConfig()
+	cfg.KeepAlivePeriod = keepAlive
+	return cfg
+}
+
 // Handler serves one stream. The stream is finished when it returns.
 type Handler func(ctx context.Context, s *Stream)
 
 // Mux listens on one address and hands streams to the handlers of their kinds.
 // The zero value is ready for Handle.
 type Mux struct {
-	handlers map[Kind]Handler
+	handlers map[Kind]*registration
 	listener *quic.Listener
 	conns    sync.WaitGroup
 }
 
+// registration is the handler of a kind with its streams in progress.
+type registration struct {
+	handler Handler
+	active  activity
+}
+
 // Handle registers the handler of a kind. It must not be called after Listen.
 func (m *Mux) Handle(kind Kind, h Handler) {
 	if m.handlers == nil {
-		m.handlers = map[Kind]Handler{}
+		m.handlers = map[Kind]*registration{}
+	}
+	m.handlers[kind] = &registration{handler: h}
+}
+
+// Drain waits until the streams of the given kinds have finished, so that their
+// peers have taken all that was sent, or until ctx ends. It takes no measures
+// against new streams.
+func (m *Mux) Drain(ctx context.Context, kinds ...Kind) error {
+	for _, kind := range kinds {
+		registered, ok := m.handlers[kind]
+		if !ok {
+			continue
+		}
+		err := registered.active.wait(ctx)
+		if err != nil {
+			return fmt.Errorf("drain streams of %s: %w", kind, err)
+		}
 	}
-	m.handlers[kind] = h
+	return nil
 }
 
 // Listen binds address and returns the address bound. cfg must ask for the
@@ -59,7 +98,7 @@
 func (m *Mux) Listen(address string, cfg *tls.Config) (net.Addr, error) {
 	own := cfg.Clone()
 	own.NextProtos = []string{protocol}
-	listener, err := quic.ListenAddr(address, own, quicConfig())
+	listener, err := quic.ListenAddr(address, own, serverConfig())
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
@@ -102,16 +141,32 @@
 	_ = s.SetReadDeadline(time.Now().Add(helloTimeout))
 	var first hello
 	err := s.Receive(&first)
-	handler, known := m.handlers[first.Kind]
+	registered, known := m.handlers[first.Kind]
 	if err != nil || !known {
 		s.Cancel()
 		return
 	}
 	_ = s.SetReadDeadline(time.Time{})
+	registered.active.begin()
+	defer registered.active.end()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(conn.Context(), cancel)
 	defer stop()
-	handler(ctx, s)
+	beats := startHeartbeats(s)
+	defer beats.Stop()
+	registered.handler(ctx, s)
 	s.finish()
 }
+
+// startHeartbeats sends heartbeats on a stream until it ends. The timer costs
+// short streams no goroutine.
+func startHeartbeats(s *Stream) *time.Timer {
+	var timer *time.Timer
+	timer = time.AfterFunc(heartbeatInterval, func() {
+		if s.beat(heartbeatInterval / 2) {
+			timer.Reset(heartbeatInterval)
+		}
+	})
+	return timer
+}
