Join a sidecar to the group of its upstream

Messages of a group go over one stream to each peer, and engines ask for the map of a step at /expert/step of the sidecar's status address. A sidecar joins once the configuration names every rank of its group. Plans are not yet made in the sidecar: engines report no loads by layer.

--- a/measure/popularity.go
+++ b/measure/popularity.go
@@ -120,7 +120,7 @@
 	return tokens
 }
 
-// exponential returns a random time with a mean.
-func exponential(rng *rand.Rand, mean time.Duration) time.Duration {
-	return time.Duration(rng.ExpFloat64() * float64(mean))
+// exponential returns a random time with an average.
+func exponential(rng *rand.Rand, average time.Duration) time.Duration {
+	return time.Duration(rng.ExpFloat64() * float64(average))
 }
--- a/node/node.go
+++ b/node/node.go
@@ -45,6 +45,8 @@
 	mux      wire.Mux
 	peers    net.Addr
 	status   net.Listener
+	// steps serves engines that ask for the map of a step; nil but in sidecars.
+	steps http.Handler
 }
 
 // newBase connects a process to the platform and to its peers.
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -8,6 +8,7 @@
 
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/booking"
+	"github.com/foxtailstack/foxtailstack/expert"
 	"github.com/foxtailstack/foxtailstack/fleet"
 	"github.com/foxtailstack/foxtailstack/keys"
 	"github.com/foxtailstack/foxtailstack/settings"
@@ -26,6 +27,7 @@
 	gate     *upstream.Gate
 	server   *upstream.Server
 	flusher  *booking.Flusher
+	group    group
 }
 
 // NewSidecar binds the address of a sidecar.
@@ -60,6 +62,8 @@
 	}
 	s.spreader = s.newSpreader(foxtailstack.RoleSidecar, s.replica)
 	s.mux.Handle(booking.StreamInquiry, responder.ServeInquiry)
+	s.mux.Handle(expert.StreamExpert, s.group.inbox.Serve)
+	s.steps = &s.group
 	return s, s.listenPeers(config)
 }
 
@@ -76,6 +80,7 @@
 	go s.spreader.Run(background)
 	go s.serveStatus(background)
 	go s.follow(background)
+	go s.joinGroup(background)
 	go s.server.Watch(background)
 	go s.reconciler().Run(background)
 	go s.awaitConfig(background, s.replica)
--- a/node/status.go
+++ b/node/status.go
@@ -24,6 +24,9 @@
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		metrics.WritePrometheus(w, true)
 	})
+	if b.steps != nil {
+		mux.Handle(pathStep, b.steps)
+	}
 	return mux
 }
 
