--- a/booking/api_test.go
+++ b/booking/api_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -19,68 +20,43 @@
 func TestAPI(t *testing.T) {
 	const known = `{"team":"blenders","fleet":"formula","service":"orders","key":"k","attempt":"ATTEMPT",` +
 		`"outcome":"notrun","operator":"ada","word":"not in the books"}`
-	running := Finding{
-		Outcome: foxtailstack.Unknown,
-		Running: true,
-	}
 	tests := []struct {
-		name    string
-		finding Finding
-		err     error
-		order   string
-		operate bool
-		status  int
-		listed  int
-		state   State
+		name     string
+		running  bool // as the sidecar says; otherwise nobody answers
+		old, new string
+		want     string
 	}{
 		{
-			name:    "sidecar unreachable",
-			err:     wire.ErrUnreachable,
-			order:   known,
-			operate: true,
-			status:  http.StatusOK,
-			state:   Freed,
+			name: "sidecar unreachable",
+			want: "200, listed 0, freed",
 		},
 		{
 			name:    "still running",
-			finding: running,
-			order:   known,
-			operate: true,
-			status:  http.StatusConflict,
-			listed:  1,
-			state:   Claimed,
+			running: true,
+			want:    "409, listed 1, claimed",
 		},
 		{
-			name:    "another attempt",
-			err:     wire.ErrUnreachable,
-			order:   strings.ReplaceAll(known, "ATTEMPT", strings.Repeat("0", 32)),
-			operate: true,
-			status:  http.StatusConflict,
-			listed:  1,
-			state:   Claimed,
+			name: "another attempt",
+			old:  "ATTEMPT",
+			new:  strings.Repeat("0", 32),
+			want: "409, listed 1, claimed",
 		},
 		{
-			name:    "no word",
-			order:   strings.ReplaceAll(known, "not in the books", ""),
-			operate: true,
-			status:  http.StatusBadRequest,
-			listed:  1,
-			state:   Claimed,
+			name: "no word",
+			old:  "not in the books",
+			want: "400, listed 1, claimed",
 		},
 		{
-			name:    "no such key",
-			order:   strings.ReplaceAll(known, `"key":"k"`, `"key":"other"`),
-			operate: true,
-			status:  http.StatusNotFound,
-			listed:  1,
-			state:   Claimed,
+			name: "no such key",
+			old:  `"key":"k"`,
+			new:  `"key":"other"`,
+			want: "404, listed 1, claimed",
 		},
 		{
-			name:   "not an operator",
-			err:    wire.ErrUnreachable,
-			order:  known,
-			status: http.StatusForbidden,
-			state:  Claimed,
+			name: "not an operator",
+			old:  "ada",
+			new:  "eve",
+			want: "403, listed 1, claimed",
 		},
 	}
 	for _, test := range tests {
@@ -99,32 +75,34 @@
 			api := API{Resolver: Resolver{
 				Recorder: recorder,
 				Inquire: func(context.Context, foxtailstack.Address, Inquiry) (Finding, error) {
-					return test.finding, test.err
+					if test.running {
+						return Finding{Running: true}, nil
+					}
+					return Finding{}, wire.ErrUnreachable
 				},
 			}}
 			mux := flow.New()
 			api.Routes(mux, func(next http.Handler) http.Handler {
-				if test.operate {
-					return next
-				}
-				return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusForbidden) })
+				return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if strings.Contains(test.new, "eve") && r.Method == http.MethodPost {
+						w.WriteHeader(http.StatusForbidden)
+						return
+					}
+					next.ServeHTTP(w, r)
+				})
 			})
-			order := strings.ReplaceAll(test.order, "ATTEMPT", claim.Attempt.String())
-			w := httptest.NewRecorder()
-			mux.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/bookings/settle", strings.NewReader(order)))
-			if diff := cmp.Diff(test.status, w.Code); diff != "" {
-				t.Errorf("status differs (-want +got):\n%s\n%s", diff, w.Body)
-			}
-			w = httptest.NewRecorder()
-			mux.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/bookings", nil))
+			order := strings.Replace(known, test.old, test.new, 1)
+			order = strings.Replace(order, "ATTEMPT", claim.Attempt.String(), 1)
+			settled := httptest.NewRecorder()
+			mux.ServeHTTP(settled, httptest.NewRequest(http.MethodPost, "/v1/bookings/settle", strings.NewReader(order)))
+			listed := httptest.NewRecorder()
+			mux.ServeHTTP(listed, httptest.NewRequest(http.MethodGet, "/v1/bookings", nil))
 			var page Page
-			_ = json.Unmarshal(w.Body.Bytes(), &page)
-			if diff := cmp.Diff(test.listed, len(page.Items)); diff != "" {
-				t.Errorf("bookings listed differ (-want +got):\n%s", diff)
-			}
+			_ = json.Unmarshal(listed.Body.Bytes(), &page)
 			record, _, _ := recorder.Lookup(ctx, key)
-			if diff := cmp.Diff(test.state.String(), record.State.String()); diff != "" {
-				t.Errorf("state differs (-want +got):\n%s", diff)
+			got := fmt.Sprintf("%d, listed %d, %s", settled.Code, len(page.Items), record.State)
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("result differs (-want +got):\n%s\n%s", diff, settled.Body)
 			}
 		})
 	}
--- a/booking/history_test.go
+++ b/booking/history_test.go
@@ -79,6 +79,16 @@
 	outcomes map[string]int
 }
 
+func newHistory(t *testing.T) *history {
+	t.Helper()
+	var clock atomic.Int64
+	return &history{
+		world:    newWorld(t, func() int64 { return clock.Add(1) }, "blenders", "brewers"),
+		refused:  map[string]string{},
+		outcomes: map[string]int{},
+	}
+}
+
 // book sends one request for a key through an entry and notes what was told.
 func (h *history) book(through *host, key, body string) output {
 	name, idempotency, _ := strings.Cut(key, "/")
@@ -143,9 +153,9 @@
 		i := rand.IntN(len(h.entries))
 		switch rand.IntN(6) {
 		case 0:
-			h.setOutage(true)
+			h.outage.Store(true)
 			time.Sleep(rand.N(4 * time.Second))
-			h.setOutage(false)
+			h.outage.Store(false)
 		case 1:
 			h.entryAt(i).die()
 			h.world.mu.Lock()
@@ -190,19 +200,13 @@
 // TestHistory sends bookings through failing entries and sidecars. Several
 // requests use one key at the same time.
 func TestHistory(t *testing.T) {
-	requests := 12000
-	if testing.Short() {
-		requests = 10000
-	}
-	const callers = 40
+	const (
+		requests = 12000
+		callers  = 40
+	)
 	synctest.Test(t, func(t *testing.T) {
-		var clock atomic.Int64
-		h := &history{
-			world:    newWorld(t, func() int64 { return clock.Add(1) }, "blenders", "brewers"),
-			refused:  map[string]string{},
-			outcomes: map[string]int{},
-		}
-		h.setRate(0.01)
+		h := newHistory(t)
+		h.chaos.Store(10)
 		ctx, cancel := context.WithCancel(t.Context())
 		var disturbing, calling sync.WaitGroup
 		disturbing.Go(func() { h.disturb(ctx) })
@@ -221,7 +225,7 @@
 		calling.Wait()
 		cancel()
 		disturbing.Wait()
-		h.setRate(0)
+		h.chaos.Store(0)
 		time.Sleep(time.Minute)
 		// With everything well again no outcome is open.
 		keys.Range(func(key, _ any) bool {
@@ -247,12 +251,7 @@
 // All requests of a team get the one answer; another body is refused.
 func TestJoin(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var clock atomic.Int64
-		h := &history{
-			world:    newWorld(t, func() int64 { return clock.Add(1) }, "blenders", "brewers"),
-			refused:  map[string]string{},
-			outcomes: map[string]int{},
-		}
+		h := newHistory(t)
 		h.delay = 400 * time.Millisecond
 		var calling sync.WaitGroup
 		for i := range 30 {
@@ -278,37 +277,16 @@
 // TestCost checks what a booking and its repeat cost the table.
 func TestCost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var clock atomic.Int64
-		h := &history{
-			world:    newWorld(t, func() int64 { return clock.Add(1) }, "blenders"),
-			refused:  map[string]string{},
-			outcomes: map[string]int{},
-		}
-		type cost struct{ Reads, Writes int }
-		var got []cost
-		before := cost{}
-		for range 2 {
-			h.book(h.entryAt(0), "blenders/k", "body")
-			time.Sleep(time.Minute)
-			reads, writes := h.count()
-			got = append(got, cost{
-				Reads:  reads - before.Reads,
-				Writes: writes - before.Writes,
-			})
-			before = cost{
-				Reads:  reads,
-				Writes: writes,
-			}
-		}
-		want := []cost{
-			{
-				Reads:  1,
-				Writes: 2,
-			},
-			{Reads: 1},
-		}
-		if diff := cmp.Diff(want, got); diff != "" {
-			t.Errorf("cost of a booking and its repeat differs (-want +got):\n%s", diff)
+		h := newHistory(t)
+		h.book(h.entryAt(0), "blenders/k", "body")
+		time.Sleep(time.Minute)
+		reads, writes := h.count()
+		h.book(h.entryAt(0), "blenders/k", "body")
+		again, rewritten := h.count()
+		got := fmt.Sprintf("booking: %d read, %d written; repeat: %d read, %d written",
+			reads, writes, again-reads, rewritten-writes)
+		if diff := cmp.Diff("booking: 1 read, 2 written; repeat: 1 read, 0 written", got); diff != "" {
+			t.Errorf("rows differ (-want +got):\n%s", diff)
 		}
 	})
 }
--- a/booking/recorder_test.go
+++ b/booking/recorder_test.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
+	"os"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,149 +15,58 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// TestRecorder checks what each order of writes leaves in a record.
+// TestRecorder checks what each order of writes leaves in a record. A line of the
+// script is such an order; a step with "lost" in front takes effect unanswered.
 func TestRecorder(t *testing.T) {
 	ctx := context.Background()
 	key := sequenceKey("blenders")
 	claim := Claim{Attempt: foxtailstack.AttemptID{1}}
 	other := Claim{Attempt: foxtailstack.AttemptID{2}}
-	answer := Answer{Body: []byte("answer")}
-	take := func(r Recorder, c Claim, expect foxtailstack.Version) error {
-		_, err := r.Claim(ctx, key, sequenceDigest, c, expect)
+	settle := func(r Recorder, outcome foxtailstack.Outcome) error {
+		return r.Settle(ctx, key, Settlement{
+			Attempt: claim.Attempt,
+			Outcome: outcome,
+		})
+	}
+	take := func(r Recorder, claim Claim, expect foxtailstack.Version) error {
+		_, err := r.Claim(ctx, key, sequenceDigest, claim, expect)
 		return err
 	}
-	finish := func(r Recorder) error { return r.Finish(ctx, key, sequenceDigest, claim, 1, answer) }
-	lose := func(r Recorder) error { return r.Lose(ctx, key, sequenceDigest, claim, 1) }
-	settle := func(outcome foxtailstack.Outcome) func(Recorder) error {
-		return func(r Recorder) error {
-			return r.Settle(ctx, key, Settlement{
-				Attempt: claim.Attempt,
-				Outcome: outcome,
-				Word:    "seen in the ledger",
-			})
-		}
+	steps := map[string]func(Recorder) error{
+		"claim":  func(r Recorder) error { return take(r, claim, 0) },
+		"other":  func(r Recorder) error { return take(r, other, 0) },
+		"again":  func(r Recorder) error { return take(r, other, 3) },
+		"finish": func(r Recorder) error { return r.Finish(ctx, key, sequenceDigest, claim, 1, Answer{Status: 200}) },
+		"lose":   func(r Recorder) error { return r.Lose(ctx, key, sequenceDigest, claim, 1) },
+		"ran":    func(r Recorder) error { return settle(r, foxtailstack.Ran) },
+		"notrun": func(r Recorder) error { return settle(r, foxtailstack.NotRun) },
 	}
-	tests := []struct {
-		name  string
-		steps []func(Recorder) error
-		fault fault // of the last step
-		err   error
-		want  State
-	}{
-		{
-			name:  "claim whose answer is lost",
-			steps: []func(Recorder) error{func(r Recorder) error { return take(r, claim, 0) }},
-			fault: faultLost,
-			want:  Claimed,
-		},
-		{
-			name: "second claim",
-			steps: []func(Recorder) error{
-				func(r Recorder) error { return take(r, other, 0) },
-				func(r Recorder) error { return take(r, claim, 0) },
-			},
-			err:  ErrClaimed,
-			want: Claimed,
-		},
-		{
-			name: "claim read back as lost",
-			steps: []func(Recorder) error{
-				func(r Recorder) error { return take(r, claim, 0) },
-				lose,
-				func(r Recorder) error { return take(r, claim, 0) },
-			},
-			err:  ErrClaimed,
-			want: Lost,
-		},
-		{
-			name:  "finish whose answer is lost",
-			steps: []func(Recorder) error{func(r Recorder) error { return take(r, claim, 0) }, finish},
-			fault: faultLost,
-			want:  Done,
-		},
-		{
-			name:  "finish twice",
-			steps: []func(Recorder) error{func(r Recorder) error { return take(r, claim, 0) }, finish, finish},
-			want:  Done,
-		},
-		{
-			name:  "finish after the outcome was marked as lost",
-			steps: []func(Recorder) error{func(r Recorder) error { return take(r, claim, 0) }, lose, finish},
-			want:  Done,
-		},
-		{
-			name:  "lose after the answer was recorded",
-			steps: []func(Recorder) error{func(r Recorder) error { return take(r, claim, 0) }, finish, lose},
-			want:  Done,
-		},
-		{
-			name: "finish after an operator has settled",
-			steps: []func(Recorder) error{
-				func(r Recorder) error { return take(r, claim, 0) }, lose, settle(foxtailstack.NotRun), finish,
-			},
-			err:  ErrClaimed,
-			want: Freed,
-		},
-		{
-			name: "settle twice",
-			steps: []func(Recorder) error{
-				func(r Recorder) error { return take(r, claim, 0) }, settle(foxtailstack.Ran), settle(foxtailstack.Ran),
-			},
-			want: Done,
-		},
-		{
-			name: "settle what is known",
-			steps: []func(Recorder) error{
-				func(r Recorder) error { return take(r, claim, 0) }, finish, settle(foxtailstack.NotRun),
-			},
-			err:  ErrSettled,
-			want: Done,
-		},
-		{
-			name: "claim after an operator has freed the key",
-			steps: []func(Recorder) error{
-				func(r Recorder) error { return take(r, claim, 0) }, lose, settle(foxtailstack.NotRun),
-				func(r Recorder) error { return take(r, other, 3) },
-			},
-			want: Claimed,
-		},
+	want, err := os.ReadFile("testdata/records.golden")
+	if err != nil {
+		t.Fatal(err)
 	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			table := &scripted{}
-			recorder := Recorder{Table: table}
-			var err error
-			for i, step := range test.steps {
-				if i == len(test.steps)-1 {
-					table.next = test.fault
-				}
-				err = step(recorder)
-			}
-			if !errors.Is(err, test.err) {
-				t.Errorf("last step: got error %v, want %v", err, test.err)
+	var got strings.Builder
+	for line := range strings.Lines(string(want)) {
+		order, _, _ := strings.Cut(line, ":")
+		table := &scripted{}
+		recorder := Recorder{Table: table}
+		for word := range strings.FieldsSeq(order) {
+			if word == "lost" {
+				table.next = faultLost
+				continue
 			}
-			record, _, err := recorder.Lookup(ctx, key)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if diff := cmp.Diff(test.want.String(), record.State.String()); diff != "" {
-				t.Errorf("state differs (-want +got):\n%s", diff)
-			}
-			listed, _, err := recorder.List(ctx, "", 10)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if diff := cmp.Diff(test.want == Lost, len(listed) == 1); diff != "" {
-				t.Errorf("place in the list differs (-want +got):\n%s", diff)
-			}
-			scanned, _, err := recorder.Scan(ctx, key, "", 10)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if diff := cmp.Diff(test.want == Lost || test.want == Claimed, len(scanned) == 1); diff != "" {
-				t.Errorf("place in the scan differs (-want +got):\n%s", diff)
-			}
-		})
+			err = steps[word](recorder)
+		}
+		record, _, lookupErr := recorder.Lookup(ctx, key)
+		listed, _, listErr := recorder.List(ctx, "", 10)
+		scanned, _, scanErr := recorder.Scan(ctx, key, "", 10)
+		if joined := errors.Join(lookupErr, listErr, scanErr); joined != nil {
+			t.Fatal(joined)
+		}
+		fmt.Fprintf(&got, "%s: %s, listed %d, scanned %d, last error: %v\n", order, record.State, len(listed), len(scanned), err)
+	}
+	if diff := cmp.Diff(string(want), got.String()); diff != "" {
+		t.Errorf("records differ (-want +got):\n%s", diff)
 	}
 }
 
--- a/booking/world_test.go
+++ b/booking/world_test.go
@@ -3,19 +3,17 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/alexedwards/flow"
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/booking"
-	"github.com/foxtailstack/foxtailstack/entry"
 	"github.com/foxtailstack/foxtailstack/fleet"
 	"github.com/foxtailstack/foxtailstack/platform"
 	"github.com/foxtailstack/foxtailstack/platform/standin"
@@ -23,7 +21,6 @@
 	"github.com/foxtailstack/foxtailstack/timeline"
 	"github.com/foxtailstack/foxtailstack/upstream"
 	"github.com/foxtailstack/foxtailstack/wire"
-	"github.com/fxamacker/cbor/v2"
 )
 
 var orders = fleet.ServiceID{
@@ -109,7 +106,7 @@
 		return foxtailstack.ErrUnavailable
 	}
 	faults := standin.Faults{
-		Outage: t.world.down(),
+		Outage: t.world.outage.Load(),
 		Delay:  rand.N(20 * time.Millisecond),
 	}
 	if rand.Float64() < 5*t.world.rate() {
@@ -136,13 +133,13 @@
 
 // world is a set of entries and sidecars with what runs on the engines.
 type world struct {
-	chaos    float64
+	chaos    atomic.Int64  // failures in a thousand steps
 	delay    time.Duration // of one message at most
 	memory   platform.Memory
 	replica  fleet.Replica
 	seq      func() int64
 	mu       sync.Mutex
-	outage   bool
+	outage   atomic.Bool
 	runs     []run
 	sidecars map[foxtailstack.Address]*sidecar
 	entries  []*host
@@ -152,11 +149,12 @@
 // sidecar is one incarnation of a sidecar.
 type sidecar struct {
 	*host
-	server    *upstream.Server
-	responder booking.Responder
-	world     *world
-	fencing   bool
-	numbers   map[string]foxtailstack.FencingNumber
+	foxtailstack.Engine // only Run is called
+	server              *upstream.Server
+	responder           booking.Responder
+	world               *world
+	fencing             bool
+	numbers             map[string]foxtailstack.FencingNumber
 }
 
 func newWorld(t *testing.T, seq func() int64, teams ...string) *world {
@@ -227,27 +225,7 @@
 
 // rate returns the chance of a failure at each step.
 func (w *world) rate() float64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.chaos
-}
-
-func (w *world) setRate(chaos float64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.chaos = chaos
-}
-
-func (w *world) down() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.outage
-}
-
-func (w *world) setOutage(on bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.outage = on
+	return float64(w.chaos.Load()) / 1000
 }
 
 // restart replaces the sidecar of an upstream by a new incarnation.
@@ -311,92 +289,3 @@
 		Body:   io.NopCloser(strings.NewReader(call.Attempt.String())),
 	}, nil
 }
-
-func (s *sidecar) Load(context.Context) (foxtailstack.EngineLoad, error) {
-	return foxtailstack.EngineLoad{}, nil
-}
-
-func (s *sidecar) State(context.Context) (foxtailstack.EngineState, error) {
-	return foxtailstack.EngineState{}, nil
-}
-
-func (s *sidecar) Order(context.Context, foxtailstack.EngineState) error {
-	return nil
-}
-
-// open connects an entry to the present sidecar at an address.
-func (w *world) open(h *host, address foxtailstack.Address, kind wire.Kind) (*wire.Stream, error) {
-	w.mu.Lock()
-	s := w.sidecars[address]
-	w.mu.Unlock()
-	if h.step(w.rate()) != nil || s.dead.Err() != nil {
-		return nil, wire.ErrUnreachable
-	}
-	near, nearEnd := wire.Pipe()
-	farEnd, far := wire.Pipe()
-	h.hold(near)
-	s.hold(far)
-	go w.carry(h, nearEnd, farEnd)
-	go w.carry(s.host, farEnd, nearEnd)
-	go func() {
-		if kind == booking.StreamInquiry {
-			s.responder.ServeInquiry(s.dead, far)
-		} else {
-			s.server.ServeAttempt(s.dead, far)
-		}
-		_ = far.CloseSend()
-	}()
-	return near, nil
-}
-
-// carry moves messages from one end to another, late and now and then not at all.
-func (w *world) carry(h *host, from, to *wire.Stream) {
-	for {
-		var message cbor.RawMessage
-		err := from.Receive(&message)
-		if errors.Is(err, io.EOF) {
-			_ = to.CloseSend()
-			return
-		}
-		time.Sleep(rand.N(w.delay))
-		if err != nil || h.step(w.rate()) != nil || rand.Float64() < w.rate() || to.Send(message) != nil {
-			to.Cancel()
-			from.Cancel()
-			return
-		}
-	}
-}
-
-// chooser picks an upstream at random.
-type chooser struct{ world *world }
-
-func (c chooser) Choose(context.Context, entry.Query) (fleet.Member, bool) {
-	members := c.world.replica.Snapshot().Upstreams[orders]
-	n := rand.IntN(len(members))
-	for _, member := range members {
-		if n == 0 {
-			return member, true
-		}
-		n--
-	}
-	return fleet.Member{}, false
-}
-
-func (c chooser) Report(fleet.Member, entry.Result) {}
-
-// entryServer returns an entry whose ring holds the attempts of one request.
-func (w *world) entryServer(h *host) (*flow.Mux, *entry.Server) {
-	server := &entry.Server{
-		Replica: &w.replica,
-		Client: wire.NewLocalClient(func(_ context.Context, address foxtailstack.Address, kind wire.Kind) (*wire.Stream, error) {
-			return w.open(h, address, kind)
-		}),
-		Recorder: booking.Recorder{Table: w.table(h)},
-		Ring:     &timeline.Ring{},
-		Chooser:  chooser{world: w},
-		Limiter:  &team.Limiter{},
-	}
-	mux := flow.New()
-	server.Routes(mux)
-	return mux, server
-}
