--- a/entry/choose.go
+++ b/entry/choose.go
@@ -7,6 +7,7 @@
 
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/fleet"
+	"github.com/foxtailstack/foxtailstack/upstream"
 	"github.com/foxtailstack/foxtailstack/wire"
 )
 
@@ -27,6 +28,9 @@
 	Outcome foxtailstack.Outcome
 	// Refused is set if the sidecar itself refused the attempt.
 	Refused bool
+	// Crashed is set if the upstream crashed while it ran the attempt. The
+	// request may be the cause, so that this is no sign of a bad upstream.
+	Crashed bool
 	// Unreachable is set if no connection to the sidecar could be made.
 	Unreachable bool
 	// Canceled is set if the caller went away before the attempt ended.
@@ -61,6 +65,7 @@
 	if errors.As(err, &failed) {
 		result.Outcome = failed.Outcome
 		result.Refused = failed.Outcome == foxtailstack.NotRun && failed.Err == nil
+		result.Crashed = failed.Reason == upstream.ReasonCrashed
 		result.Unreachable = errors.Is(err, wire.ErrUnreachable)
 	}
 	return result
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -21,10 +21,11 @@
 // Sidecar is the process beside an upstream.
 type Sidecar struct {
 	*base
-	replica *fleet.Replica
-	gate    *upstream.Gate
-	server  *upstream.Server
-	flusher *booking.Flusher
+	replica  *fleet.Replica
+	spreader *fleet.Spreader
+	gate     *upstream.Gate
+	server   *upstream.Server
+	flusher  *booking.Flusher
 }
 
 // NewSidecar binds the address of a sidecar.
@@ -57,6 +58,7 @@
 		Incarnation: s.server.Incarnation,
 		Ledger:      s.server.Ledger,
 	}
+	s.spreader = s.newSpreader(foxtailstack.RoleSidecar, s.replica)
 	s.mux.Handle(booking.StreamInquiry, responder.ServeInquiry)
 	return s, s.listenPeers(config)
 }
@@ -71,13 +73,11 @@
 	s.log.Info("sidecar started", zap.Stringer("peers", s.peers), zap.String("upstream", s.settings.Upstream.Name))
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	poller := fleet.Poller{
-		Store:   fleet.Store{Table: s.table},
-		Replica: s.replica,
-	}
-	go poller.Run(background)
+	go s.spreader.Run(background)
 	go s.serveStatus(background)
 	go s.follow(background)
+	go s.server.Watch(background)
+	go s.reconciler().Run(background)
 	go s.awaitConfig(background, s.replica)
 	served := make(chan error, 1)
 	go func() { served <- s.mux.Serve(background) }()
@@ -157,3 +157,34 @@
 		}
 	}
 }
+
+// reconciler returns what orders the engine to load what its service declares.
+func (s *Sidecar) reconciler() *upstream.Reconciler {
+	return &upstream.Reconciler{
+		Holder: &upstream.Holder{
+			Table:       s.table,
+			Upstream:    s.settings.Upstream.Name,
+			Incarnation: s.server.Incarnation,
+		},
+		Engine:  s.server.Engine,
+		Want:    s.want,
+		Changed: s.replica.Changed,
+		Ring:    s.ring,
+	}
+}
+
+// want returns what the engine is to have loaded. Plain services load nothing.
+func (s *Sidecar) want() (upstream.Want, bool) {
+	id, err := fleet.ParseUpstreamID(s.settings.Upstream.Name)
+	if err != nil {
+		return upstream.Want{}, false
+	}
+	snapshot := s.replica.Snapshot()
+	service, ok := snapshot.Services[id.ServiceID]
+	return upstream.Want{
+		Revision: snapshot.Revision,
+		Model:    service.Model,
+		Adapter:  service.Adapter,
+		Version:  service.Version,
+	}, ok && service.Model != ""
+}
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -14,6 +14,9 @@
 //	insist NAME                      send SIGTERM until a process ends; it must
 //	                                 exit with 0
 //	freeze NAME, thaw NAME           stop and continue a process
+//	revive                           start the crashed engines again
+//	crashes N                        check how many engines have crashed
+//	loaded ENGINE MODEL VERSION      wait until an engine has loaded a version
 //	apply FILE [ENTRY]               declare resources and wait until in force
 //	send [-to ENTRY] [-key KEY] [-stream] [-bg NAME] SERVICE JSON
 //	                                 send a request; its answer is the last one,
@@ -35,6 +38,10 @@
 //	                                 refused some may have been refused
 //	booking listed KEY               check that a booking is listed as unsettled
 //	booking settle KEY ran|notrun    settle it by an operator's word
+//	list NAME...                     replace the list of instances
+//	operate [-bg NAME] ENTRY COMMAND...
+//	                                 run a command of an operator; its answer has
+//	                                 the exit code as status and what it wrote as body
 //
 // The commands stop, kill and skip of testscript itself must not be used: stop
 // ends a script early, as passed.
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -13,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/foxtailstack/foxtailstack/team"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -25,6 +27,15 @@
 	poll = 10 * time.Millisecond
 )
 
+// Ports of the processes.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
+// operatorToken is the token of the first admin.
+const operatorToken = "operator-token"
+
 var errUsage = errors.New("wrong arguments")
 
 // process is one process of the binary.
@@ -106,7 +117,10 @@
 		return s.launch(args[1], peers, "", "sidecar", "--settings", path)
 	case args[0] == "entry" && len(args) == 2:
 		callers := freeAddress()
-		path, err := s.writeSettings(args[1], fmt.Sprintf("[listen]\ncallers = %q\npeers = %q\n", callers, s.peerAddress(args[1])))
+		path, err := s.writeSettings(args[1], fmt.Sprintf(
+			"[listen]\ncallers = %q\npeers = %q\n[operators]\nhash = %q\n",
+			callers, s.peerAddress(args[1]), team.Hash(operatorToken),
+		))
 		if err != nil {
 			return err
 		}
@@ -255,14 +269,24 @@
 	}
 }
 
-// freeAddress returns a loopback address whose port is free.
+// freeAddress returns a loopback address whose port is free for TCP and UDP. It
+// lies below the ports that the kernel gives to connections, one of which could
+// take it before a process listens.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		packets, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		_ = packets.Close()
+		return address
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 // await waits until ready returns true.
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -1,6 +1,8 @@
 package settings
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"net"
@@ -141,6 +143,10 @@
 		needed: sidecarRole,
 		set:    positive(func(s *Settings) *int { return &s.Upstream.Slots }),
 	},
+	{
+		name: "operators.hash",
+		set:  text(func(s *Settings) *string { return &s.Operators.Hash }, isHash),
+	},
 	{
 		name: "log.level",
 		set:  text(func(s *Settings) *string { return &s.Log.Level }, isLevel),
@@ -270,6 +276,14 @@
 	return nil
 }
 
+// isHash checks a SHA-256 hash in hexadecimal.
+func isHash(s string) error {
+	if b, err := hex.DecodeString(s); err != nil || len(b) != sha256.Size {
+		return fmt.Errorf("must be %d bytes in hexadecimal, is %q", sha256.Size, s)
+	}
+	return nil
+}
+
 // isLevel checks the level of the log.
 func isLevel(s string) error {
 	if !slices.Contains(levels, s) {
