Let only the sidecar's refusal free a claim of one's own

The entry took the version of its own claim as replaceable as soon as Run was sent. A further attempt after an unknown outcome, which the quarantine of crashing requests can grant if its block ends in between, would have replaced the claim of an attempt that may have run. The version is now taken only when the sidecar has refused the attempt. Found by reading; no test produces the interleaving.

--- a/booking/world_test.go
+++ b/booking/world_test.go
@@ -149,7 +149,7 @@
 // sidecar is one incarnation of a sidecar.
 type sidecar struct {
 	*host
-	foxtailstack.Engine // only Run is called
+	foxtailstack.Engine // only Run and Load are called
 	server              *upstream.Server
 	responder           booking.Responder
 	world               *world
@@ -282,10 +282,15 @@
 	w.mu.Unlock()
 	time.Sleep(rand.N(300 * time.Millisecond))
 	if rand.Float64() < 2*w.rate() {
-		return foxtailstack.EngineAnswer{}, foxtailstack.ErrEngineFailed
+		return foxtailstack.EngineAnswer{}, foxtailstack.ErrEngineLost
 	}
 	return foxtailstack.EngineAnswer{
 		Status: http.StatusOK,
 		Body:   io.NopCloser(strings.NewReader(call.Attempt.String())),
 	}, nil
 }
+
+// Load reports an engine that is well.
+func (s *sidecar) Load(context.Context) (foxtailstack.EngineLoad, error) {
+	return foxtailstack.EngineLoad{}, nil
+}
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -57,9 +57,7 @@
 	if err != nil {
 		return unknown(upstream.ReasonFailed, err)
 	}
-	// An attempt that the sidecar refuses from here on leaves its claim behind,
-	// which the next attempt replaces.
-	a.request.replaces = foxtailstack.Version(number)
+	a.request.claimed = foxtailstack.Version(number)
 	return nil
 }
 
@@ -101,10 +99,16 @@
 // record and the sidecar that it names are asked.
 func (s *Server) rejoin(ctx context.Context, req *request, out *response, last error) error {
 	var failed *AttemptError
-	claimed := errors.Is(last, booking.ErrClaimed)
-	if !errors.As(last, &failed) || (failed.Outcome == foxtailstack.NotRun && !claimed) {
+	if !errors.As(last, &failed) {
 		return last
 	}
+	if failed.Outcome == foxtailstack.NotRun && !errors.Is(last, booking.ErrClaimed) {
+		// The sidecar may have refused the attempt after its claim, which the
+		// next attempt then replaces.
+		req.replaces = max(req.replaces, req.claimed)
+		return last
+	}
+	req.claimed = 0
 	if out.begun || ctx.Err() != nil {
 		s.suspect(req, last)
 		return unknown(failed.Reason, last)
--- a/entry/request.go
+++ b/entry/request.go
@@ -28,6 +28,8 @@
 	deadline    time.Duration
 	// replaces is the version of a booking's record that an attempt may replace.
 	replaces foxtailstack.Version
+	// claimed is the version of the record that the last attempt has claimed.
+	claimed foxtailstack.Version
 }
 
 // bookingKey returns the key of the record of a non-idempotent request.
