--- a/node/entry.go
+++ b/node/entry.go
@@ -32,6 +32,7 @@
 	handler   *flow.Mux
 	callers   *entry.Server
 	entries   *peers
+	limiter   *team.Limiter
 }
 
 // NewEntry binds the addresses of an entry.
@@ -47,11 +48,19 @@
 		},
 	}
 	e.spreader = e.newSpreader(foxtailstack.RoleEntry, e.replica)
+	instances := listOf(cfg)
+	e.limiter = &team.Limiter{
+		Replica:   e.replica,
+		Client:    e.client,
+		Instances: instances,
+		Name:      cfg.Name,
+	}
+	e.mux.Handle(team.StreamBudget, e.limiter.ServeBudget)
 	e.chooser = &balance.Chooser{
 		Replica:   e.replica,
 		Client:    e.client,
 		Centre:    cfg.Centre,
-		Instances: listOf(cfg),
+		Instances: instances,
 	}
 	e.callers = &entry.Server{
 		Replica:  e.replica,
@@ -59,7 +68,7 @@
 		Recorder: e.recorder(),
 		Ring:     e.ring,
 		Chooser:  e.chooser,
-		Limiter:  &team.Limiter{},
+		Limiter:  e.limiter,
 		Peers:    e.entries.Addresses,
 	}
 	e.mux.Handle(entry.StreamCrash, e.callers.ServeCrash)
@@ -106,6 +115,7 @@
 	go e.serveStatus(background)
 	go e.awaitConfig(background, e.replica)
 	go e.chooser.Run(background)
+	go e.limiter.Run(background)
 	go func() { _ = e.mux.Serve(background) }()
 	err := serveHTTP(ctx, e.listener, e.handler, e.grace(), e.drain)
 	e.client.Close()
