--- a/wire/stream.go
+++ b/wire/stream.go
@@ -12,7 +12,7 @@
 )
 
 // streamBuffer is the size of the read buffer of a stream in bytes.
-const streamBuffer = 4 << 10
+const streamBuffer = 512
 
 // Codes that end a stream or a connection early.
 const (
