--- a/upstream/event.go
+++ b/upstream/event.go
@@ -9,6 +9,9 @@
 	"strconv"
 )
 
+// eventBuffer is the size of the read buffer of a stream in bytes.
+const eventBuffer = 4 << 10
+
 // maxEvent is the length of the longest event in bytes.
 const maxEvent = 256 << 10
 
@@ -49,7 +52,7 @@
 
 // NewEventReader returns a reader of the events in r.
 func NewEventReader(r io.Reader) *EventReader {
-	return &EventReader{reader: bufio.NewReaderSize(r, chunkSize)}
+	return &EventReader{reader: bufio.NewReaderSize(r, eventBuffer)}
 }
 
 // Next returns the next event. It returns io.EOF at the end of the stream and
--- a/upstream/transfer.go
+++ b/upstream/transfer.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"mime"
+	"sync"
 
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/zeebo/xxh3"
@@ -19,6 +20,9 @@
 	typeEvents = "text/event-stream"
 )
 
+// chunks holds the buffers of pieces of answers.
+var chunks = sync.Pool{New: func() any { return new([chunkSize]byte) }}
+
 // transfer sends the answer of the engine on to the entry.
 type transfer struct {
 	attempt *attempt
@@ -56,7 +60,9 @@
 	if kind == typeEvents {
 		err = t.events(answer.Body)
 	} else {
-		err = t.bytes(answer.Body)
+		chunk, _ := chunks.Get().(*[chunkSize]byte)
+		defer chunks.Put(chunk)
+		err = t.bytes(answer.Body, chunk[:])
 	}
 	if err == nil {
 		err = a.conclude()
@@ -71,8 +77,7 @@
 }
 
 // bytes sends a body that has no parts, the last piece with the end.
-func (t *transfer) bytes(body io.Reader) error {
-	buffer := make([]byte, chunkSize)
+func (t *transfer) bytes(body io.Reader, buffer []byte) error {
 	for {
 		n, err := fill(body, buffer)
 		t.count(buffer[:n])
