--- a/entry/response.go
+++ b/entry/response.go
@@ -70,6 +70,7 @@
 type response struct {
 	w      http.ResponseWriter
 	stream bool
+	flush  *http.ResponseController
 	// begun is set once the caller has received part of the answer.
 	begun bool
 	// last is the number of the last event that the caller has received.
@@ -104,13 +105,14 @@
 	}
 	if !r.begun {
 		r.begun = true
+		r.flush = http.NewResponseController(r.w)
 		r.w.Header().Set("Trailer", HeaderOutcome)
 		r.w.Header().Set("Content-Type", r.kind)
 		r.w.WriteHeader(r.status)
 	}
 	_, err := r.w.Write(b)
 	if err == nil {
-		err = http.NewResponseController(r.w).Flush()
+		err = r.flush.Flush()
 	}
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrCallerGone, err)
--- a/upstream/transfer.go
+++ b/upstream/transfer.go
@@ -39,6 +39,8 @@
 	// last is the number of the last event sent.
 	last uint64
 	done bool
+	// own is how the data of the attempt's events begin, if they bear its id.
+	own []byte
 }
 
 // run sends the whole answer. An answer that the engine cut short is an error.
@@ -112,6 +114,7 @@
 // events sends a body of server-sent events, a whole event at a time.
 func (t *transfer) events(body io.Reader) error {
 	t.last = t.attempt.open.Resume
+	t.own = []byte(`{"id":"` + t.attempt.id.String() + `"`)
 	reader := NewEventReader(body)
 	for {
 		event, err := reader.Next()
@@ -153,7 +156,7 @@
 		t.done = true
 		return nil
 	}
-	if !t.attempt.owns(event.Data) {
+	if !t.owns(event.Data) {
 		return fmt.Errorf("%w: event of another attempt", foxtailstack.ErrEngineMismatch)
 	}
 	if event.ID == 0 {
@@ -193,9 +196,8 @@
 }
 
 // owns reports whether the data of an event bears the attempt's id, or none.
-func (a *attempt) owns(data []byte) bool {
-	id := a.id.String()
-	if bytes.HasPrefix(data, []byte(`{"id":"`+id+`"`)) {
+func (t *transfer) owns(data []byte) bool {
+	if bytes.HasPrefix(data, t.own) {
 		return true
 	}
 	var chunk struct {
@@ -204,5 +206,5 @@
 	if json.Unmarshal(data, &chunk) != nil || chunk.ID == nil {
 		return true
 	}
-	return *chunk.ID == id
+	return *chunk.ID == t.attempt.id.String()
 }
