Wait in a script until an entry that starts anew is ready

The script of bookings slowed the table right after the start of an entry, which at times had not loaded its configuration by then and refused.

--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -40,6 +40,7 @@
 			"crashes":  withSystem((*system).crashes),
 			"list":     withSystem((*system).list),
 			"revive":   withSystem((*system).revive),
+			"ready":    withSystem((*system).ready),
 			"loaded":   withSystem((*system).loaded),
 			"cut":      withSystem((*system).cut),
 			"heal":     withSystem((*system).heal),
