Revert "Give up attempts on sidecars that stand still"

Streams now carry heartbeats themselves while their handler is silent, and end after three seconds without any. That covers all kinds of streams and needs no probe; the watch of attempts would have stood beside it.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -31,12 +31,9 @@
 	suspect bool
 
 	stream *wire.Stream
-	// silence watches an idempotent attempt; nil for others, which are waited
-	// for as long as there is hope.
-	silence *silence
-	begun   bool
-	sum     xxh3.Hasher
-	length  uint64
+	begun  bool
+	sum    xxh3.Hasher
+	length uint64
 }
 
 // run makes the attempt and hands the answer to out. Its error, if any, is an
@@ -80,10 +77,6 @@
 			return a.ended(ctx, err)
 		}
 	}
-	if a.request.policy.Idempotent {
-		a.silence = newSilence(ctx, s, a)
-		defer a.silence.stop()
-	}
 	return a.ended(ctx, a.receive(out))
 }
 
@@ -135,7 +128,6 @@
 	if err != nil {
 		return frame, a.lost(err)
 	}
-	a.silence.broken()
 	if frame.Attempt != a.id {
 		return frame, unknown(upstream.ReasonMismatch, fmt.Errorf("%w: frame of attempt %s", ErrCorrupt, frame.Attempt))
 	}
