--- a/balance/directory_test.go
+++ b/balance/directory_test.go
@@ -78,6 +78,13 @@
 		Outcome:  foxtailstack.Unknown,
 		Canceled: true,
 	}
+	expired := entry.Result{
+		Outcome: foxtailstack.Unknown,
+		Expired: true,
+		Latency: 150 * time.Millisecond,
+	}
+	hung := expired
+	hung.Latency = 10 * time.Second
 	refused := entry.Result{
 		Outcome: foxtailstack.NotRun,
 		Refused: true,
@@ -97,59 +104,157 @@
 		want  State
 	}{
 		{
-			name:  "failures in a row",
-			steps: []step{{0, failed, 3}},
-			want:  Ejected,
+			name: "failures in a row",
+			steps: []step{{
+				after:  0,
+				result: failed,
+				times:  3,
+			}},
+			want: Ejected,
+		},
+		{
+			name: "unreachable",
+			steps: []step{{
+				after:  0,
+				result: unreachable,
+				times:  3,
+			}},
+			want: Ejected,
+		},
+		{
+			name: "failures broken by an answer",
+			steps: []step{{
+				after:  0,
+				result: failed,
+				times:  2,
+			}, {
+				after:  0,
+				result: ran,
+				times:  1,
+			}, {
+				after:  0,
+				result: failed,
+				times:  2,
+			}},
+			want: Healthy,
 		},
 		{
-			name:  "unreachable",
-			steps: []step{{0, unreachable, 3}},
-			want:  Ejected,
+			name: "deadlines as short as the answers of others",
+			steps: []step{{
+				after:  0,
+				result: expired,
+				times:  50,
+			}, {
+				after:  time.Second,
+				result: expired,
+				times:  0,
+			}},
+			want: Healthy,
 		},
 		{
-			name:  "failures broken by an answer",
-			steps: []step{{0, failed, 2}, {0, ran, 1}, {0, failed, 2}},
-			want:  Healthy,
+			name: "deadlines that only this one misses",
+			steps: []step{{
+				after:  0,
+				result: hung,
+				times:  20,
+			}, {
+				after:  time.Second,
+				result: hung,
+				times:  0,
+			}},
+			want: Ejected,
 		},
 		{
-			name:  "refusals",
-			steps: []step{{0, refused, 50}},
-			want:  Healthy,
+			name: "refusals",
+			steps: []step{{
+				after:  0,
+				result: refused,
+				times:  50,
+			}},
+			want: Healthy,
 		},
 		{
-			name:  "callers that go away",
-			steps: []step{{0, canceled, 50}},
-			want:  Healthy,
+			name: "callers that go away",
+			steps: []step{{
+				after:  0,
+				result: canceled,
+				times:  50,
+			}},
+			want: Healthy,
 		},
 		{
-			name:  "requests that crash it",
-			steps: []step{{0, crashed, 50}},
-			want:  Healthy,
+			name: "requests that crash it",
+			steps: []step{{
+				after:  0,
+				result: crashed,
+				times:  50,
+			}},
+			want: Healthy,
 		},
 		{
-			name:  "slow against the others",
-			steps: []step{{0, slow, 20}, {time.Second, slow, 0}},
-			want:  Ejected,
+			name: "slow against the others",
+			steps: []step{{
+				after:  0,
+				result: slow,
+				times:  20,
+			}, {
+				after:  time.Second,
+				result: slow,
+				times:  0,
+			}},
+			want: Ejected,
 		},
 		{
-			name:  "on trial after a time",
-			steps: []step{{0, failed, 3}, {minCooling, failed, 0}},
-			want:  Probing,
+			name: "on trial after a time",
+			steps: []step{{
+				after:  0,
+				result: failed,
+				times:  3,
+			}, {
+				after:  minCooling,
+				result: failed,
+				times:  0,
+			}},
+			want: Probing,
 		},
 		{
-			name:  "fails on trial",
-			steps: []step{{0, failed, 3}, {minCooling, failed, 1}},
-			want:  Ejected,
+			name: "fails on trial",
+			steps: []step{{
+				after:  0,
+				result: failed,
+				times:  3,
+			}, {
+				after:  minCooling,
+				result: failed,
+				times:  1,
+			}},
+			want: Ejected,
 		},
 		{
-			name:  "slow on trial",
-			steps: []step{{0, failed, 3}, {minCooling, slow, 1}},
-			want:  Ejected,
+			name: "slow on trial",
+			steps: []step{{
+				after:  0,
+				result: failed,
+				times:  3,
+			}, {
+				after:  minCooling,
+				result: slow,
+				times:  1,
+			}},
+			want: Ejected,
 		},
 		{
-			name:  "passes its trial",
-			steps: []step{{0, failed, 3}, {minCooling, ran, 3}},
-			want:  Healthy,
+			name: "passes its trial",
+			steps: []step{{
+				after:  0,
+				result: failed,
+				times:  3,
+			}, {
+				after:  minCooling,
+				result: ran,
+				times:  3,
+			}},
+			want: Healthy,
 		},
 	}
 	for _, test := range tests {
@@ -211,7 +316,7 @@
 	now := time.Unix(0, 0)
 	d := Directory{Centre: "a"}
 	d.Update(snapshotOf(draining, member(2, "a"), member(3, "a"), member(4, "a"), member(5, "b")), leaving)
-	d.Saw(now, member(3, "a"), upstream.Load{Draining: true}, time.Millisecond)
+	d.Saw(now, member(3, "a"), upstream.Sighting{Load: upstream.Load{Draining: true}}, time.Millisecond)
 	d.Silent(member(5, "b"))
 	want := map[foxtailstack.UpstreamName]int{"w4": 100}
 	if diff := cmp.Diff(want, picks(&d, now, 100)); diff != "" {
@@ -289,9 +394,9 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			d.Saw(now, home, test.home, 0)
-			d.Saw(now, other, test.other, 0)
-			d.Saw(now, member(3, "b"), test.away, 3*time.Millisecond)
+			d.Saw(now, home, upstream.Sighting{Load: test.home}, 0)
+			d.Saw(now, other, upstream.Sighting{Load: test.other}, 0)
+			d.Saw(now, member(3, "b"), upstream.Sighting{Load: test.away}, 3*time.Millisecond)
 			for range test.before {
 				d.find(home).inflight.Add(1)
 			}
--- a/entry/server.go
+++ b/entry/server.go
@@ -53,6 +53,7 @@
 	budgets    budgets
 	quarantine quarantine
 	teller     teller
+	teams      team.Index
 }
 
 // Routes adds the routes of the caller API to mux.
@@ -85,7 +86,9 @@
 		w:      w,
 		stream: req.stream,
 	}
-	out.finish(s.dispatch(ctx, req, out))
+	err := s.dispatch(ctx, req, out)
+	s.settle(req, out, err)
+	out.finish(err)
 }
 
 // parse returns the request, or the problem with it.
@@ -95,7 +98,7 @@
 		return nil, refuse(http.StatusServiceUnavailable, "the entry has no configuration yet")
 	}
 	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	name, ok := team.Caller(snapshot, token)
+	name, ok := s.teams.Caller(snapshot, token)
 	if !ok {
 		return nil, refuse(http.StatusUnauthorized, "the token belongs to no team")
 	}
--- a/measure/idle.go
+++ b/measure/idle.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	before := heap()
+	before := memoryInUse()
 	client := wire.NewClient(config.Peer)
 	defer client.Close()
 	meters := make([]*meter, 0, n)
@@ -81,7 +81,7 @@
 		}
 	}
 	time.Sleep(settleTime)
-	memory := heap() - before
+	memory := memoryInUse() - before
 	bytes, cpu := sumBytes(meters), processorTime()
 	time.Sleep(watch)
 	seconds := watch.Seconds()
@@ -144,8 +144,8 @@
 	return sum
 }
 
-// heap returns the memory in use after a collection.
-func heap() int64 {
+// memoryInUse returns the memory in use after a collection.
+func memoryInUse() int64 {
 	runtime.GC()
 	var stats runtime.MemStats
 	runtime.ReadMemStats(&stats)
--- a/node/entry.go
+++ b/node/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/alexedwards/flow"
@@ -16,18 +17,22 @@
 	"github.com/foxtailstack/foxtailstack/platform"
 	"github.com/foxtailstack/foxtailstack/settings"
 	"github.com/foxtailstack/foxtailstack/team"
+	"github.com/foxtailstack/foxtailstack/timeline"
 	"go.uber.org/zap"
 )
 
 // Entry is an entry process.
 type Entry struct {
 	*base
-	replica  *fleet.Replica
-	chooser  *balance.Chooser
-	listener net.Listener
-	handler  *flow.Mux
-	callers  *entry.Server
-	entries  *peers
+	replica   *fleet.Replica
+	spreader  *fleet.Spreader
+	operators *fleet.API
+	chooser   *balance.Chooser
+	listener  net.Listener
+	handler   *flow.Mux
+	callers   *entry.Server
+	entries   *peers
+	limiter   *team.Limiter
 }
 
 // NewEntry binds the addresses of an entry.
@@ -42,11 +47,20 @@
 			self: cfg.Name,
 		},
 	}
+	e.spreader = e.newSpreader(foxtailstack.RoleEntry, e.replica)
+	instances := listOf(cfg)
+	e.limiter = &team.Limiter{
+		Replica:   e.replica,
+		Client:    e.client,
+		Instances: instances,
+		Name:      cfg.Name,
+	}
+	e.mux.Handle(team.StreamBudget, e.limiter.ServeBudget)
 	e.chooser = &balance.Chooser{
 		Replica:   e.replica,
 		Client:    e.client,
 		Centre:    cfg.Centre,
-		Instances: listOf(cfg),
+		Instances: instances,
 	}
 	e.callers = &entry.Server{
 		Replica:  e.replica,
@@ -54,7 +68,7 @@
 		Recorder: e.recorder(),
 		Ring:     e.ring,
 		Chooser:  e.chooser,
-		Limiter:  &team.Limiter{},
+		Limiter:  e.limiter,
 		Peers:    e.entries.Addresses,
 	}
 	e.mux.Handle(entry.StreamCrash, e.callers.ServeCrash)
@@ -68,13 +82,16 @@
 	}
 	e.callers.Routes(e.handler)
 	e.handler.HandleFunc(pathReady, e.serveReady, http.MethodGet)
-	operators := &fleet.API{
-		Store:   fleet.Store{Table: e.table},
-		Replica: e.replica,
+	e.operators = e.newAPI()
+	e.operators.Routes(e.handler)
+	events := &timeline.Collector{
+		Client: e.client,
+		Ring:   e.ring,
+		Peers:  e.others,
 	}
-	operators.Routes(e.handler)
+	events.Routes(e.handler, e.operators.Guard)
 	bookings := &booking.API{Resolver: e.callers.Resolver()}
-	bookings.Routes(e.handler, nil)
+	bookings.Routes(e.handler, e.operators.Guard)
 	return e, nil
 }
 
@@ -93,14 +110,12 @@
 	e.log.Info("entry started", zap.Stringer("callers", e.Addr()), zap.Stringer("peers", e.peers))
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	poller := fleet.Poller{
-		Store:   fleet.Store{Table: e.table},
-		Replica: e.replica,
-	}
-	go poller.Run(background)
+	go e.spreader.Run(background)
+	defer context.AfterFunc(ctx, e.operators.Close)()
 	go e.serveStatus(background)
 	go e.awaitConfig(background, e.replica)
 	go e.chooser.Run(background)
+	go e.limiter.Run(background)
 	go func() { _ = e.mux.Serve(background) }()
 	err := serveHTTP(ctx, e.listener, e.handler, e.grace(), e.drain)
 	e.client.Close()
@@ -121,6 +136,17 @@
 	return nil
 }
 
+// others returns the addresses of the other entries and of all sidecars.
+func (e *Entry) others(ctx context.Context) []foxtailstack.Address {
+	addresses := slices.Clone(e.entries.Addresses(ctx))
+	for _, members := range e.replica.Snapshot().Upstreams {
+		for _, member := range members {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
+
 // listOf returns the platform's list of instances, or nil if there is none.
 func listOf(cfg settings.Settings) foxtailstack.InstanceList {
 	if cfg.Platform.List == "" {
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -21,10 +21,11 @@
 // Sidecar is the process beside an upstream.
 type Sidecar struct {
 	*base
-	replica *fleet.Replica
-	gate    *upstream.Gate
-	server  *upstream.Server
-	flusher *booking.Flusher
+	replica  *fleet.Replica
+	spreader *fleet.Spreader
+	gate     *upstream.Gate
+	server   *upstream.Server
+	flusher  *booking.Flusher
 }
 
 // NewSidecar binds the address of a sidecar.
@@ -57,6 +58,7 @@
 		Incarnation: s.server.Incarnation,
 		Ledger:      s.server.Ledger,
 	}
+	s.spreader = s.newSpreader(foxtailstack.RoleSidecar, s.replica)
 	s.mux.Handle(booking.StreamInquiry, responder.ServeInquiry)
 	return s, s.listenPeers(config)
 }
@@ -71,11 +73,7 @@
 	s.log.Info("sidecar started", zap.Stringer("peers", s.peers), zap.String("upstream", s.settings.Upstream.Name))
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	poller := fleet.Poller{
-		Store:   fleet.Store{Table: s.table},
-		Replica: s.replica,
-	}
-	go poller.Run(background)
+	go s.spreader.Run(background)
 	go s.serveStatus(background)
 	go s.follow(background)
 	go s.server.Watch(background)
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -11,6 +11,7 @@
 //	shutdown NAME                    end a process by SIGTERM; it must exit with 0
 //	stopping NAME                    send SIGTERM and wait until it drains
 //	sigkill NAME                     end a process by SIGKILL
+//	ready ENTRY                      wait until an entry takes new work
 //	insist NAME                      send SIGTERM until a process ends; it must
 //	                                 exit with 0
 //	freeze NAME, thaw NAME           stop and continue a process
@@ -18,7 +19,6 @@
 //	crashes N                        check how many engines have crashed
 //	ready ENTRY                      wait until an entry is ready
 //	loaded ENGINE MODEL VERSION      wait until an engine has loaded a version
-//	list                             put the entries on the list of instances
 //	apply FILE [ENTRY]               declare resources and wait until in force
 //	send [-to ENTRY] [-key KEY] [-stream] [-bg NAME] SERVICE JSON
 //	                                 send a request; its answer is the last one,
@@ -40,6 +40,10 @@
 //	                                 refused some may have been refused
 //	booking listed KEY               check that a booking is listed as unsettled
 //	booking settle KEY ran|notrun    settle it by an operator's word
+//	list NAME...                     replace the list of instances
+//	operate [-bg NAME] ENTRY COMMAND...
+//	                                 run a command of an operator; its answer has
+//	                                 the exit code as status and what it wrote as body
 //
 // The commands stop, kill and skip of testscript itself must not be used: stop
 // ends a script early, as passed.
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/foxtailstack/foxtailstack/team"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -32,6 +34,9 @@
 	lastPort  = 32000
 )
 
+// operatorToken is the token of the first admin.
+const operatorToken = "operator-token"
+
 var errUsage = errors.New("wrong arguments")
 
 // process is one process of the binary.
@@ -113,7 +118,10 @@
 		return s.launch(args[1], peers, "", "sidecar", "--settings", path)
 	case args[0] == "entry" && len(args) == 2:
 		callers := freeAddress()
-		path, err := s.writeSettings(args[1], fmt.Sprintf("[listen]\ncallers = %q\npeers = %q\n", callers, s.peerAddress(args[1])))
+		path, err := s.writeSettings(args[1], fmt.Sprintf(
+			"[listen]\ncallers = %q\npeers = %q\n[operators]\nhash = %q\n",
+			callers, s.peerAddress(args[1]), team.Hash(operatorToken),
+		))
 		if err != nil {
 			return err
 		}
@@ -216,6 +224,25 @@
 	}
 }
 
+// ready waits until an entry takes new work.
+func (s *system) ready(_ *testscript.TestScript, args []string) error {
+	if len(args) != 1 || s.processes[args[0]] == nil {
+		return errUsage
+	}
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	return await(startTimeout, func() bool {
+		response, err := client.Get(s.processes[args[0]].url + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
 // insist sends SIGTERM over and over until a process ends; it must exit with 0.
 func (s *system) insist(_ *testscript.TestScript, args []string) error {
 	for {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -13,12 +13,19 @@
 	Centre foxtailstack.DataCentre
 	Region foxtailstack.Region
 	// Grace is the time for requests in progress after a request to stop.
-	Grace    Duration
-	Listen   Listen
-	Platform Platform
-	TLS      TLS
-	Upstream Upstream
-	Log      Log
+	Grace     Duration
+	Listen    Listen
+	Platform  Platform
+	TLS       TLS
+	Upstream  Upstream
+	Operators Operators
+	Log       Log
+}
+
+// Operators holds who may use the resource API before there is any team.
+type Operators struct {
+	// Hash is the SHA-256 hash of an admin's token in hexadecimal.
+	Hash string
 }
 
 // Listen holds the addresses that a process listens on.
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -85,6 +85,7 @@
 // execute runs the attempt on the engine and sends the answer.
 func (a *attempt) execute(ctx context.Context) {
 	a.record(EventRun, "")
+	a.server.recent.Note(PrefixOf(a.open.Body))
 	call := foxtailstack.EngineCall{
 		Attempt:     a.id,
 		Team:        a.open.Team,
