--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -17,7 +17,6 @@
 //	freeze NAME, thaw NAME           stop and continue a process
 //	revive                           start the crashed engines again
 //	crashes N                        check how many engines have crashed
-//	ready ENTRY                      wait until an entry is ready
 //	loaded ENGINE MODEL VERSION      wait until an engine has loaded a version
 //	apply FILE [ENTRY]               declare resources and wait until in force
 //	send [-to ENTRY] [-key KEY] [-stream] [-bg NAME] SERVICE JSON
--- a/scenario/entry_test.go
+++ b/scenario/entry_test.go
@@ -105,22 +105,3 @@
 	}
 	return nil
 }
-
-// ready waits until an entry says that it is ready.
-func (s *system) ready(_ *testscript.TestScript, args []string) error {
-	if len(args) != 1 || s.processes[args[0]] == nil {
-		return errUsage
-	}
-	client, err := s.client()
-	if err != nil {
-		return err
-	}
-	return await(startTimeout, func() bool {
-		response, err := client.Get(s.processes[args[0]].url + "/readyz")
-		if err != nil {
-			return false
-		}
-		_ = response.Body.Close()
-		return response.StatusCode == http.StatusOK
-	})
-}
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -24,7 +24,6 @@
 			"start":    withSystem((*system).start),
 			"shutdown": withSystem((*system).stop),
 			"insist":   withSystem((*system).insist),
-			"ready":    withSystem((*system).ready),
 			"sigkill":  withSystem((*system).kill),
 			"freeze":   withSystem((*system).freeze),
 			"thaw":     withSystem((*system).thaw),
