--- a/entry/bound_test.go
+++ b/entry/bound_test.go
@@ -85,6 +85,11 @@
 			Upstream: foxtailstack.UpstreamName(rune('a' + n)),
 		}
 	}
+	lost := func(n byte) Crash {
+		c := crash(n)
+		c.Lost = true
+		return c
+	}
 	tests := []struct {
 		name    string
 		crashes []Crash
@@ -131,6 +136,21 @@
 			crashes: []Crash{crash(1), crash(2)},
 			wait:    quarantineTime,
 		},
+		{
+			name:    "two connections lost",
+			crashes: []Crash{lost(1), lost(2)},
+			refused: true,
+		},
+		{
+			name:    "two connections lost, forgotten",
+			crashes: []Crash{lost(1), lost(2)},
+			wait:    lostTime,
+		},
+		{
+			name:    "a crash and a connection lost, forgotten",
+			crashes: []Crash{crash(1), lost(2)},
+			wait:    lostTime,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -36,6 +36,8 @@
 	Print    Fingerprint               `cbor:"1,keyasint"`
 	Attempt  foxtailstack.AttemptID    `cbor:"2,keyasint"`
 	Upstream foxtailstack.UpstreamName `cbor:"3,keyasint"`
+	// Lost is set if only the connection to the sidecar was lost.
+	Lost bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Crashes is the message that tells of crashes.
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -126,6 +126,7 @@
 			Print:    p.key,
 			Attempt:  a.id,
 			Upstream: member.ID.Upstream,
+			Lost:     failed.lost(),
 		})
 	}
 	if !p.request.policy.Idempotent {
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -15,6 +15,9 @@
 	maxCrashes = 2
 	// quarantineTime is how long crashes count after the last one.
 	quarantineTime = 10 * time.Minute
+	// lostTime is the same if a connection was lost, which a cut network does
+	// to requests that are not to blame.
+	lostTime = 30 * time.Second
 	// maxSuspects bounds the number of fingerprints kept.
 	maxSuspects = 1 << 12
 	// maxTurn bounds the wait of a suspect for its like.
@@ -40,6 +43,8 @@
 	attempts []foxtailstack.AttemptID
 	crashed  []foxtailstack.UpstreamName
 	last     time.Time
+	// lost is set if a crash is only inferred from a lost connection.
+	lost bool
 	// turn is closed once no equal request runs; nil if none does.
 	turn chan struct{}
 }
@@ -86,7 +91,7 @@
 		return pass{leave: func() {}}, nil, nil
 	}
 	if len(row.attempts) >= maxCrashes {
-		left := quarantineTime - time.Since(row.last)
+		left := row.span() - time.Since(row.last)
 		return pass{}, nil, unsent(upstream.ReasonSuspect, left, ErrQuarantined)
 	}
 	if row.turn != nil {
@@ -101,6 +106,14 @@
 	}, nil, nil
 }
 
+// span returns how long the crashes count.
+func (s *suspicion) span() time.Duration {
+	if s.lost {
+		return lostTime
+	}
+	return quarantineTime
+}
+
 // leave ends the turn of a suspect.
 func (q *quarantine) leave(row *suspicion, turn chan struct{}) {
 	q.mu.Lock()
@@ -136,6 +149,7 @@
 	if len(row.attempts) < maxCrashes {
 		row.attempts = append(row.attempts, c.Attempt)
 		row.crashed = append(row.crashed, c.Upstream)
+		row.lost = row.lost || c.Lost
 	}
 }
 
@@ -152,7 +166,7 @@
 // row returns the suspicion of a request, or nil. The caller holds q.mu.
 func (q *quarantine) row(key Fingerprint) *suspicion {
 	row := q.rows[key]
-	if row != nil && time.Since(row.last) >= quarantineTime {
+	if row != nil && time.Since(row.last) >= row.span() {
 		delete(q.rows, key)
 		return nil
 	}
