--- a/entry/whole_test.go
+++ b/entry/whole_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -288,3 +291,43 @@
 		})
 	}
 }
+
+// A caller that leaves ends the work of the engine, which would go on for a
+// minute.
+func TestCallerGoneCancelsEngine(t *testing.T) {
+	s := newSystem(t, fleet.Policy{Idempotent: true}, 1)
+	running := func() int {
+		w := httptest.NewRecorder()
+		s.engines[0].ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/load", nil))
+		var load foxtailstack.EngineLoad
+		err := json.Unmarshal(w.Body.Bytes(), &load)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return load.Running
+	}
+	await := func(want int) {
+		for range 1000 {
+			if running() == want {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Errorf("%d calls run, expected %d", running(), want)
+	}
+	for _, stream := range []bool{true, false} {
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan answer, 1)
+		go func() {
+			done <- s.send(ctx, standin.Prompt{
+				Text:   "draft",
+				Tokens: 600,
+				Pace:   100 * time.Millisecond,
+			}, stream)
+		}()
+		await(1)
+		cancel()
+		await(0)
+		<-done
+	}
+}
