Resume no stream that has an event without a number

A stream with an event without a number between numbered ones resumed behind the last number, so that the caller got that event twice. Such a stream is now cut off as one without numbers. Comments need none.

--- a/entry/response.go
+++ b/entry/response.go
@@ -121,7 +121,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrCallerGone, err)
 	}
-	r.unnumbered = r.unnumbered || last == 0
+	r.unnumbered = r.unnumbered || last == 0 && b[0] != ':' // comments have no number
 	r.last = last
 	return nil
 }
--- a/upstream/transfer.go
+++ b/upstream/transfer.go
@@ -38,7 +38,10 @@
 	held []byte
 	// last is the number of the last event sent.
 	last uint64
-	done bool
+	// unnumbered is set once an event with data had no number, after which the
+	// stream can't resume.
+	unnumbered bool
+	done       bool
 	// own is how the data of the attempt's events begin, if they bear its id.
 	own []byte
 }
@@ -160,6 +163,7 @@
 		return fmt.Errorf("%w: event of another attempt", foxtailstack.ErrEngineMismatch)
 	}
 	if event.ID == 0 {
+		t.unnumbered = t.unnumbered || len(event.Data) > 0
 		return nil
 	}
 	if event.ID != t.last+1 {
@@ -181,12 +185,15 @@
 // finished in any case.
 func (t *transfer) send(data []byte, end *End) error {
 	if t.lost == nil {
-		t.lost = t.attempt.send(Frame{
+		frame := Frame{
 			Head: t.head,
 			Data: data,
-			Last: t.last,
 			End:  end,
-		})
+		}
+		if !t.unnumbered {
+			frame.Last = t.last
+		}
+		t.lost = t.attempt.send(frame)
 		t.head = nil
 	}
 	if t.attempt.run == nil {
