--- a/measure/plot.go
+++ b/measure/plot.go
@@ -96,15 +96,15 @@
 	return nil
 }
 
-// average is a running mean.
-type average struct {
+// mean is a running mean.
+type mean struct {
 	sum float64
 	n   int
 }
 
 // curvesOf returns the points of each policy in the order of x.
 func curvesOf(lines []Line, chosen Axes) map[string]plotter.XYs {
-	means := map[string]map[float64]average{}
+	means := map[string]map[float64]mean{}
 	for _, line := range lines {
 		policy := ""
 		numbers := map[string]float64{}
@@ -122,10 +122,10 @@
 			continue
 		}
 		if means[policy] == nil {
-			means[policy] = map[float64]average{}
+			means[policy] = map[float64]mean{}
 		}
 		m := means[policy][x]
-		means[policy][x] = average{
+		means[policy][x] = mean{
 			sum: m.sum + y,
 			n:   m.n + 1,
 		}
