--- a/demo/system.go
+++ b/demo/system.go
@@ -74,15 +74,7 @@
 	if options.Slots == 0 {
 		options.Slots = slots
 	}
-	authority, err := keys.NewAuthority()
-	if err != nil {
-		return nil, err
-	}
-	pair, err := authority.Issue("demo", "127.0.0.1")
-	if err != nil {
-		return nil, err
-	}
-	config, err := keys.NewConfig(pair, authority.Cert)
+	config, err := keys.NewLoopback()
 	if err != nil {
 		return nil, err
 	}
--- a/entry/system_test.go
+++ b/entry/system_test.go
@@ -96,15 +96,7 @@
 // newConfig returns the TLS settings of processes on loopback.
 func newConfig(t testing.TB) keys.Config {
 	t.Helper()
-	authority, err := keys.NewAuthority()
-	if err != nil {
-		t.Fatal(err)
-	}
-	pair, err := authority.Issue("test", "127.0.0.1")
-	if err != nil {
-		t.Fatal(err)
-	}
-	config, err := keys.NewConfig(pair, authority.Cert)
+	config, err := keys.NewLoopback()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/measure/floor.go
+++ b/measure/floor.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/foxtailstack/foxtailstack/keys"
 	"github.com/quic-go/quic-go"
 )
 
@@ -28,7 +29,7 @@
 
 // newFloors starts the echoes.
 func newFloors(ctx context.Context) (*floors, error) {
-	config, err := testKeys()
+	config, err := keys.NewLoopback()
 	if err != nil {
 		return nil, err
 	}
--- a/measure/idle.go
+++ b/measure/idle.go
@@ -51,7 +51,7 @@
 func idle(ctx context.Context, n int, watch time.Duration) (Line, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	config, err := testKeys()
+	config, err := keys.NewLoopback()
 	if err != nil {
 		return nil, err
 	}
@@ -122,19 +122,6 @@
 	return addr, nil
 }
 
-// testKeys returns TLS settings for processes on loopback.
-func testKeys() (keys.Config, error) {
-	authority, err := keys.NewAuthority()
-	if err != nil {
-		return keys.Config{}, err
-	}
-	pair, err := authority.Issue("measure", "127.0.0.1")
-	if err != nil {
-		return keys.Config{}, err
-	}
-	return keys.NewConfig(pair, authority.Cert)
-}
-
 // sumBytes returns the bytes that meters have counted.
 func sumBytes(meters []*meter) foxtailstack.Bytes {
 	sum := foxtailstack.Bytes(0)
--- a/wire/mux_test.go
+++ b/wire/mux_test.go
@@ -12,30 +12,15 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// testConfig returns the TLS settings of processes on loopback.
-func testConfig(t *testing.T) keys.Config {
-	t.Helper()
-	authority, err := keys.NewAuthority()
-	if err != nil {
-		t.Fatal(err)
-	}
-	pair, err := authority.Issue("test", "127.0.0.1")
-	if err != nil {
-		t.Fatal(err)
-	}
-	config, err := keys.NewConfig(pair, authority.Cert)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return config
-}
-
 // A process that stops closes its connections. What its handlers sent before
 // must have reached the peer by then, however slowly the peer reads.
 func TestMuxDrainDeliversLastMessages(t *testing.T) {
 	const kind wire.Kind = "test"
 	const messages = 8
-	config := testConfig(t)
+	config, err := keys.NewLoopback()
+	if err != nil {
+		t.Fatal(err)
+	}
 	var mux wire.Mux
 	returned := make(chan struct{})
 	mux.Handle(kind, func(_ context.Context, s *wire.Stream) {
