--- a/node/node.go
+++ b/node/node.go
@@ -149,11 +149,14 @@
 	grace time.Duration,
 	drain func(ctx context.Context) error,
 ) error {
+	var fresh unused
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeader,
+		ConnState:         fresh.note,
 	}
+	server.RegisterOnShutdown(fresh.close)
 	stopped := make(chan error, 1)
 	go func() {
 		<-ctx.Done()
