measure: compare relays with polling at 12 to 300 processes

Resetting it at the first message let two processes that follow one another do so for good, which TestSpreadCircle caught; a relay without a root now neither resets it nor counts as heard.

--- a/fleet/census.go
+++ b/fleet/census.go
@@ -10,11 +10,14 @@
 )
 
 const (
-	// reportLife is how long a report counts without a further one.
-	reportLife = 2500 * time.Millisecond
+	// reportLife is how long a report of a subscriber counts without a further
+	// one, and summaryLife that of another root.
+	reportLife  = 2500 * time.Millisecond
+	summaryLife = 4500 * time.Millisecond
 	// settleTime is how long a process that has changed its relay stays
-	// uncounted, so that it is never counted twice.
-	settleTime = 3500 * time.Millisecond
+	// uncounted, so that it is never counted twice: the report lives on at the
+	// relay and then in the last summary with it.
+	settleTime = reportLife + summaryLife
 	// maxCounts bounds the revisions told apart in a report.
 	maxCounts = 8
 )
@@ -124,7 +127,7 @@
 		return all
 	}
 	for name, other := range c.roots {
-		if time.Since(other.at) >= reportLife {
+		if time.Since(other.at) >= summaryLife {
 			delete(c.roots, name)
 			continue
 		}
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -22,12 +22,14 @@
 	// firstDoubt and lastDoubt bound the time between two such looks.
 	firstDoubt = 4 * time.Second
 	lastDoubt  = 32 * time.Second
-	// avoidTime is the mean time for which a relay that has failed is avoided.
-	avoidTime = 20 * time.Second
+	// firstAvoid and lastAvoid bound the mean time for which a relay that has
+	// failed is avoided; it doubles while the relay goes on failing.
+	firstAvoid = 500 * time.Millisecond
+	lastAvoid  = 20 * time.Second
 	// reportInterval and reportCheck are the time between two reports without
 	// and with a change.
-	reportInterval = time.Second
-	reportCheck    = 250 * time.Millisecond
+	reportInterval = 1200 * time.Millisecond
+	reportCheck    = 500 * time.Millisecond
 )
 
 // Reasons to leave a relay.
@@ -50,11 +52,15 @@
 		if !ok {
 			return triggerExhausted
 		}
+		began := time.Now()
 		attached, err := s.follow(ctx, address)
 		if attached {
 			s.move()
 			lossesTotal.Inc()
 		}
+		if attached && time.Since(began) > lastAvoid {
+			delete(s.avoided, address)
+		}
 		if !errors.Is(err, errReplaced) {
 			s.avoid(address)
 		}
@@ -63,10 +69,16 @@
 	return triggerReview
 }
 
+// avoidance is how long a relay is passed over.
+type avoidance struct {
+	until time.Time
+	pause time.Duration
+}
+
 // candidate returns the first relay of a plan that is not avoided.
 func (s *Spreader) candidate(p *plan) (foxtailstack.Address, bool) {
 	for _, address := range p.sources {
-		if time.Now().After(s.avoided[address]) {
+		if time.Now().After(s.avoided[address].until) {
 			return address, true
 		}
 	}
@@ -76,11 +88,15 @@
 // avoid passes a relay over for a while.
 func (s *Spreader) avoid(address foxtailstack.Address) {
 	if s.avoided == nil {
-		s.avoided = map[foxtailstack.Address]time.Time{}
+		s.avoided = map[foxtailstack.Address]avoidance{}
 	}
 	now := time.Now()
-	maps.DeleteFunc(s.avoided, func(_ foxtailstack.Address, until time.Time) bool { return now.After(until) })
-	s.avoided[address] = now.Add(jitter(avoidTime))
+	maps.DeleteFunc(s.avoided, func(_ foxtailstack.Address, a avoidance) bool { return now.Sub(a.until) > lastAvoid })
+	pause := min(max(2*s.avoided[address].pause, firstAvoid), lastAvoid)
+	s.avoided[address] = avoidance{
+		until: now.Add(jitter(pause)),
+		pause: pause,
+	}
 }
 
 // follow applies what a relay sends until it has to be left, and reports to it.
@@ -124,7 +140,9 @@
 			err = reporter.report(s)
 		case u := <-updates:
 			attached = true
-			s.heard.Store(time.Now().UnixNano())
+			if u.Tried <= triedLimit {
+				s.heard.Store(time.Now().UnixNano())
+			}
 			silence.Reset(silenceLimit)
 			err = s.take(u, &parts)
 		}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -23,8 +23,6 @@
 type Stream interface {
 	Send(v any) error
 	Receive(v any) error
-	// CloseSend tells the peer that no more messages come.
-	CloseSend() error
 	// Cancel ends the stream in both directions.
 	Cancel()
 }
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -10,7 +10,7 @@
 )
 
 // heartbeat is the time between two updates of a relay without changes.
-const heartbeat = 500 * time.Millisecond
+const heartbeat = 700 * time.Millisecond
 
 // freshness says when the table was last read and when that was last tried.
 type freshness struct {
@@ -47,15 +47,18 @@
 	s.serve(ctx, stream)
 }
 
-// ServeSummary takes the summary of another root.
+// ServeSummary takes the summaries of another root.
 func (s *Spreader) ServeSummary(_ context.Context, stream *wire.Stream) {
-	s.takeSummary(stream)
+	s.takeSummaries(stream)
 }
 
-// takeSummary takes the summary of another root.
-func (s *Spreader) takeSummary(stream Stream) {
-	var message summary
-	if stream.Receive(&message) == nil {
+// takeSummaries keeps the summaries of another root until the stream ends.
+func (s *Spreader) takeSummaries(stream Stream) {
+	for {
+		var message summary
+		if stream.Receive(&message) != nil {
+			return
+		}
 		s.census.setRoot(message)
 	}
 }
--- a/fleet/spread.go
+++ b/fleet/spread.go
@@ -91,7 +91,7 @@
 	// Owned by the goroutine in Run.
 	doubt   time.Duration
 	doubted time.Time
-	avoided map[foxtailstack.Address]time.Time
+	avoided map[foxtailstack.Address]avoidance
 	spared  time.Time
 }
 
--- a/fleet/spread_test.go
+++ b/fleet/spread_test.go
@@ -185,7 +185,7 @@
 		if kind == StreamConfig {
 			peer.serve(far.ctx, far)
 		} else {
-			peer.takeSummary(far)
+			peer.takeSummaries(far)
 		}
 		time.Sleep(time.Millisecond) // what was sent arrives
 		far.Cancel()
@@ -254,8 +254,6 @@
 	}
 }
 
-func (p *pipe) CloseSend() error { return nil }
-
 func (p *pipe) Cancel() { p.cancel() }
 
 // A change is in force everywhere in time, through each of the failures.
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -49,7 +49,9 @@
 type Experiment func(ctx context.Context, options Options) error
 
 // experiments holds the experiments by name.
-var experiments = map[string]Experiment{}
+var experiments = map[string]Experiment{
+	"spread": Spread,
+}
 
 // Names returns the names of all experiments in order.
 func Names() []string {
