fleet: let sidecars try all entries of their data centre

With three relays to choose from and a list of which 20 of 26 entries were gone, sidecars stayed without a relay and read the table until the list caught up. They now try every entry of the data centre in the order of its hash.

Taking each mechanism out on a scratch copy showed that three were held by no test: the time after which a relay is silent, the time for which a process that has moved stays uncounted, and the digest of a repeated change. Each has a test now that fails without it.

--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -11,8 +11,8 @@
 const (
 	// pollers is the number of entries of a data centre that read the table.
 	pollers = 3
-	// sources is the number of relays that a process tries before the table.
-	sources = 3
+	// askedPeers is the number of relays that a starting process asks.
+	askedPeers = 3
 	// spares is the number of further processes that a starting one asks.
 	spares = 2
 )
@@ -74,9 +74,9 @@
 	if self.Role == foxtailstack.RoleEntry {
 		relays = rank(pickKey+string(self.Centre), local, pollers)
 	}
-	p.sources = addresses(self.Name, rank(string(self.Name), relays, sources))
+	p.sources = addresses(self.Name, rank(string(self.Name), relays, len(relays)))
 	p.poll = p.root || len(p.sources) == 0
-	p.peers = addresses(self.Name, rank(string(self.Name), local, sources+1))
+	p.peers = addresses(self.Name, rank(string(self.Name), local, askedPeers+1))
 	p.peers = append(p.peers, addresses(self.Name, rank(string(self.Name), others, spares))...)
 	return p
 }
--- a/fleet/spread_test.go
+++ b/fleet/spread_test.go
@@ -161,6 +161,31 @@
 	}
 }
 
+// checkHeard checks that every process that is no poller hears from a relay.
+func (w *world) checkHeard() {
+	w.t.Helper()
+	for _, n := range w.nodes {
+		silent := time.Since(time.Unix(0, n.heard.Load()))
+		if n.ctx.Err() == nil && !n.frozen.Load() && !n.planned().poll && silent > 2*time.Second {
+			w.t.Errorf("%s has heard from no relay for %s", n.Self.Name, silent)
+		}
+	}
+}
+
+// checkMissing checks for a while that nobody says that a revision is in force
+// everywhere.
+func (w *world) checkMissing(revision foxtailstack.Revision, d time.Duration) {
+	w.t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, n := range w.nodes {
+			s := n.Status(revision)
+			if n.ctx.Err() == nil && !n.frozen.Load() && s.InForce == s.Total {
+				w.t.Fatalf("%s says %d of %d, but a process lacks revision %d", n.Self.Name, s.InForce, s.Total, revision)
+			}
+		}
+	}
+}
+
 // pollers returns the processes of a data centre that poll.
 func (w *world) pollers(centre foxtailstack.DataCentre) []*worldNode {
 	var picked []*worldNode
@@ -267,6 +292,8 @@
 		name  string
 		fail  func(*world)
 		limit time.Duration
+		// alone is set if some processes are left without a relay.
+		alone bool
 	}{
 		{
 			name:  "calm",
@@ -291,6 +318,7 @@
 				}
 			},
 			limit: 10 * time.Second,
+			alone: true,
 		},
 		{
 			name:  "a poller loses the table",
@@ -347,6 +375,9 @@
 				w.commit(test.limit)
 				time.Sleep(20 * time.Second)
 				w.commit(inForceLimit)
+				if !test.alone {
+					w.checkHeard()
+				}
 			})
 		})
 	}
@@ -424,6 +455,45 @@
 	})
 }
 
+// While one process lacks a revision, nobody says that all have it: not when the
+// followers of a dead poller move, and not when the process was never listed.
+func TestSpreadMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.stop()
+		for _, centre := range []foxtailstack.DataCentre{"a", "b"} {
+			w.add(centre, foxtailstack.RoleEntry, 4)
+			w.add(centre, foxtailstack.RoleSidecar, 20)
+		}
+		w.run()
+		late := w.start(foxtailstack.Instance{
+			Name:    "late",
+			Role:    foxtailstack.RoleSidecar,
+			Address: "late",
+			Centre:  "a",
+		})
+		w.commit(inForceLimit)
+		time.Sleep(20 * time.Second)
+		w.mu.Lock()
+		w.listDown = true
+		w.mu.Unlock()
+		late.frozen.Store(true)
+		w.checkMissing(w.commit(inForceLimit), 10*time.Second)
+
+		w.mu.Lock()
+		w.listDown = false
+		w.mu.Unlock()
+		late.cancel()
+		w.nodes["b-sidecar-0"].frozen.Store(true)
+		revision := w.commit(inForceLimit)
+		time.Sleep(10 * time.Second)
+		for range 2 {
+			w.pollers("a")[0].cancel()
+			w.checkMissing(revision, 15*time.Second)
+		}
+	})
+}
+
 // A process that starts while the table is down takes the configuration from
 // its peers, and without any it is not ready.
 func TestSpreadStart(t *testing.T) {
--- a/fleet/store_test.go
+++ b/fleet/store_test.go
@@ -221,3 +221,34 @@
 		}
 	}
 }
+
+// Another proposal under the same ChangeID is refused, the same one is repeated.
+func TestCommitRepeated(t *testing.T) {
+	store := Store{Table: &platform.Memory{}}
+	proposal := Proposal{
+		ChangeID: foxtailstack.NewChangeID(),
+		ID: ID{
+			Kind: KindFleet,
+			Name: "formula",
+		},
+		Spec:   []byte("{}"),
+		Digest: 1,
+	}
+	for _, test := range []struct {
+		digest Digest
+		want   error
+	}{
+		{digest: 1},
+		{digest: 1},
+		{
+			digest: 2,
+			want:   ErrRepeated,
+		},
+	} {
+		proposal.Digest = test.digest
+		_, err := store.Commit(t.Context(), proposal)
+		if !errors.Is(err, test.want) {
+			t.Errorf("digest %d: got %v, expected %v", test.digest, err, test.want)
+		}
+	}
+}
