--- a/measure/measure.go
+++ b/measure/measure.go
@@ -50,7 +50,12 @@
 
 // experiments holds the experiments by name.
 var experiments = map[string]Experiment{
-	"spread": Spread,
+	"spread":   Spread,
+	"idle":     Idle,
+	"path":     Path,
+	"overload": Overload,
+	"route":    Route,
+	"expert":   Expert,
 }
 
 // Names returns the names of all experiments in order.
--- a/node/entry.go
+++ b/node/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/alexedwards/flow"
@@ -16,6 +17,7 @@
 	"github.com/foxtailstack/foxtailstack/platform"
 	"github.com/foxtailstack/foxtailstack/settings"
 	"github.com/foxtailstack/foxtailstack/team"
+	"github.com/foxtailstack/foxtailstack/timeline"
 	"go.uber.org/zap"
 )
 
@@ -29,6 +31,8 @@
 	listener  net.Listener
 	handler   *flow.Mux
 	callers   *entry.Server
+	entries   *peers
+	limiter   *team.Limiter
 }
 
 // NewEntry binds the addresses of an entry.
@@ -37,21 +41,26 @@
 		base:    newBase(cfg, config, log),
 		replica: &fleet.Replica{},
 		handler: flow.New(),
+		entries: &peers{
+			list: listOf(cfg),
+			role: foxtailstack.RoleEntry,
+			self: cfg.Name,
+		},
 	}
 	e.spreader = e.newSpreader(foxtailstack.RoleEntry, e.replica)
-	err := e.listenPeers(config)
-	if err != nil {
-		return nil, err
-	}
-	e.listener, err = listenHTTP(cfg.Listen.Callers, config.Listen, cfg.TLS.Plain)
-	if err != nil {
-		return nil, err
+	instances := listOf(cfg)
+	e.limiter = &team.Limiter{
+		Replica:   e.replica,
+		Client:    e.client,
+		Instances: instances,
+		Name:      cfg.Name,
 	}
+	e.mux.Handle(team.StreamBudget, e.limiter.ServeBudget)
 	e.chooser = &balance.Chooser{
 		Replica:   e.replica,
 		Client:    e.client,
 		Centre:    cfg.Centre,
-		Instances: listOf(cfg),
+		Instances: instances,
 	}
 	e.callers = &entry.Server{
 		Replica:  e.replica,
@@ -59,12 +68,28 @@
 		Recorder: e.recorder(),
 		Ring:     e.ring,
 		Chooser:  e.chooser,
-		Limiter:  &team.Limiter{},
+		Limiter:  e.limiter,
+		Peers:    e.entries.Addresses,
+	}
+	e.mux.Handle(entry.StreamCrash, e.callers.ServeCrash)
+	err := e.listenPeers(config)
+	if err != nil {
+		return nil, err
+	}
+	e.listener, err = listenHTTP(cfg.Listen.Callers, config.Listen, cfg.TLS.Plain)
+	if err != nil {
+		return nil, err
 	}
 	e.callers.Routes(e.handler)
 	e.handler.HandleFunc(pathReady, e.serveReady, http.MethodGet)
 	e.operators = e.newAPI()
 	e.operators.Routes(e.handler)
+	events := &timeline.Collector{
+		Client: e.client,
+		Ring:   e.ring,
+		Peers:  e.others,
+	}
+	events.Routes(e.handler, e.operators.Guard)
 	bookings := &booking.API{Resolver: e.callers.Resolver()}
 	bookings.Routes(e.handler, e.operators.Guard)
 	return e, nil
@@ -90,6 +115,7 @@
 	go e.serveStatus(background)
 	go e.awaitConfig(background, e.replica)
 	go e.chooser.Run(background)
+	go e.limiter.Run(background)
 	go func() { _ = e.mux.Serve(background) }()
 	err := serveHTTP(ctx, e.listener, e.handler, e.grace(), e.drain)
 	e.client.Close()
@@ -110,6 +136,17 @@
 	return nil
 }
 
+// others returns the addresses of the other entries and of all sidecars.
+func (e *Entry) others(ctx context.Context) []foxtailstack.Address {
+	addresses := slices.Clone(e.entries.Addresses(ctx))
+	for _, members := range e.replica.Snapshot().Upstreams {
+		for _, member := range members {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
+
 // listOf returns the platform's list of instances, or nil if there is none.
 func listOf(cfg settings.Settings) foxtailstack.InstanceList {
 	if cfg.Platform.List == "" {
--- a/node/sidecar.go
+++ b/node/sidecar.go
@@ -47,8 +47,9 @@
 		return s.replica.Snapshot().Teams[name].Weight
 	})
 	s.flusher = &booking.Flusher{
-		Recorder: s.recorder(),
-		Ledger:   s.server.Ledger,
+		Recorder:   s.recorder(),
+		Ledger:     s.server.Ledger,
+		Superseded: s.logSuperseded,
 	}
 	s.server.Flusher = s.flusher
 	s.mux.Handle(upstream.StreamAttempt, s.server.ServeAttempt)
@@ -75,6 +76,8 @@
 	go s.spreader.Run(background)
 	go s.serveStatus(background)
 	go s.follow(background)
+	go s.server.Watch(background)
+	go s.reconciler().Run(background)
 	go s.awaitConfig(background, s.replica)
 	served := make(chan error, 1)
 	go func() { served <- s.mux.Serve(background) }()
@@ -84,6 +87,7 @@
 	case <-ctx.Done():
 	}
 	err := s.drain()
+	s.flusher.Close()
 	cancel()
 	err = errors.Join(err, <-served)
 	s.client.Close()
@@ -92,6 +96,16 @@
 	return err
 }
 
+// logSuperseded logs a result that contradicts what an operator has settled.
+func (s *Sidecar) logSuperseded(result booking.Result) {
+	s.log.Error("booking was settled before its result came",
+		zap.String("team", string(result.Key.Team)),
+		zap.Stringer("service", result.Key.Service),
+		zap.String("key", result.Key.Idempotency),
+		zap.Stringer("attempt", result.Claim.Attempt),
+		zap.Bool("ran", !result.Failed))
+}
+
 // drain refuses new attempts and waits until those in progress have ended and
 // the entries have taken their answers.
 func (s *Sidecar) drain() error {
@@ -104,12 +118,16 @@
 	case <-ctx.Done():
 		return ErrGrace
 	}
-	for _, key := range s.flusher.Wait(ctx) {
+	unwritten := s.flusher.Wait(ctx)
+	for _, key := range unwritten {
 		s.log.Error("booking has no record",
 			zap.String("team", string(key.Team)),
 			zap.Stringer("service", key.Service),
 			zap.String("key", key.Idempotency))
 	}
+	if len(unwritten) > 0 {
+		return ErrGrace
+	}
 	<-lingered
 	err := s.mux.Drain(ctx, upstream.StreamAttempt, booking.StreamInquiry)
 	if err != nil {
@@ -139,3 +157,34 @@
 		}
 	}
 }
+
+// reconciler returns what orders the engine to load what its service declares.
+func (s *Sidecar) reconciler() *upstream.Reconciler {
+	return &upstream.Reconciler{
+		Holder: &upstream.Holder{
+			Table:       s.table,
+			Upstream:    s.settings.Upstream.Name,
+			Incarnation: s.server.Incarnation,
+		},
+		Engine:  s.server.Engine,
+		Want:    s.want,
+		Changed: s.replica.Changed,
+		Ring:    s.ring,
+	}
+}
+
+// want returns what the engine is to have loaded. Plain services load nothing.
+func (s *Sidecar) want() (upstream.Want, bool) {
+	id, err := fleet.ParseUpstreamID(s.settings.Upstream.Name)
+	if err != nil {
+		return upstream.Want{}, false
+	}
+	snapshot := s.replica.Snapshot()
+	service, ok := snapshot.Services[id.ServiceID]
+	return upstream.Want{
+		Revision: snapshot.Revision,
+		Model:    service.Model,
+		Adapter:  service.Adapter,
+		Version:  service.Version,
+	}, ok && service.Model != ""
+}
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -26,6 +28,12 @@
 	poll = 10 * time.Millisecond
 )
 
+// Ports of the processes.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
 // operatorToken is the token of the first admin.
 const operatorToken = "operator-token"
 
@@ -216,6 +224,25 @@
 	}
 }
 
+// ready waits until an entry takes new work.
+func (s *system) ready(_ *testscript.TestScript, args []string) error {
+	if len(args) != 1 || s.processes[args[0]] == nil {
+		return errUsage
+	}
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	return await(startTimeout, func() bool {
+		response, err := client.Get(s.processes[args[0]].url + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
 // insist sends SIGTERM over and over until a process ends; it must exit with 0.
 func (s *system) insist(_ *testscript.TestScript, args []string) error {
 	for {
@@ -262,14 +289,24 @@
 	}
 }
 
-// freeAddress returns a loopback address whose port is free.
+// freeAddress returns a loopback address whose port is free for TCP and UDP. It
+// lies below the ports that the kernel gives to connections, one of which could
+// take it before a process listens.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		packets, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		_ = packets.Close()
+		return address
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 // await waits until ready returns true.
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -45,10 +45,15 @@
 // NewHTTPEngine returns the engine at a URL.
 func NewHTTPEngine(address string) *HTTPEngine {
 	return &HTTPEngine{
-		client: &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: maxConns,
-			DisableCompression:  true,
-		}},
+		client: &http.Client{
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: maxConns,
+				DisableCompression:  true,
+			},
+			// A failure to follow a redirect would look as if the engine had
+			// seen nothing of the call.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
 		base: address,
 	}
 }
@@ -84,6 +89,10 @@
 		_ = response.Body.Close()
 		return foxtailstack.EngineAnswer{}, fmt.Errorf("%w: got %q, expected %q", foxtailstack.ErrEngineMismatch, got, id)
 	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.ProtoMajor == 1 {
+		_ = response.Body.Close()
+		return foxtailstack.EngineAnswer{}, fmt.Errorf("%w: answer without an end", foxtailstack.ErrEngineFailed)
+	}
 	return foxtailstack.EngineAnswer{
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
@@ -150,8 +159,11 @@
 // failure to connect proves that the engine has seen nothing.
 func engineError(err error) error {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
 		return fmt.Errorf("%w: %w", foxtailstack.ErrEngineRefused, err)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &op):
+		return fmt.Errorf("%w: %w", foxtailstack.ErrEngineLost, err)
 	}
 	return fmt.Errorf("%w: %w", foxtailstack.ErrEngineFailed, err)
 }
