fleet: swap summaries by call and bound the followers of a relay

Of each pair of roots one now calls the other every 2 s and both learn the other's summary; a stream to a silent relay stays open until its connection has been given up too.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -9,25 +9,30 @@
 )
 
 const (
-	// summaryInterval is the time between two summaries to the other roots, and
+	// summaryInterval is the time between two exchanges with another root, and
 	// calmInterval that while the same revision is in force everywhere.
 	summaryInterval = 500 * time.Millisecond
 	calmInterval    = 2 * time.Second
+	// summaryTimeout bounds one exchange. It is longer than the silence after
+	// which a connection to a dead peer is given up.
+	summaryTimeout = 3500 * time.Millisecond
 )
 
-// exchange tells the other roots what is in force below this one.
+// exchange swaps summaries with the other roots. Of each pair, the one whose
+// name comes first opens the exchange.
 func (s *Spreader) exchange(ctx context.Context) {
-	links := map[foxtailstack.Address]*link{}
-	defer func() {
-		for _, l := range links {
-			l.cancel()
-		}
-	}()
+	busy := map[foxtailstack.Address]*sync.Mutex{}
 	for {
 		changed := s.Replica.Changed()
 		p := s.planned()
-		if p.root && s.Ready() && s.settled() {
-			s.tellAll(ctx, p.roots, links)
+		for _, other := range p.roots {
+			if !p.root || !s.Ready() || s.Self.Name > other.Name {
+				continue
+			}
+			if busy[other.Address] == nil {
+				busy[other.Address] = &sync.Mutex{}
+			}
+			go s.swap(ctx, other.Address, busy[other.Address])
 		}
 		interval := calmInterval
 		if len(s.counts()) > 1 {
@@ -46,70 +51,43 @@
 	}
 }
 
-// tellAll sends a summary to the other roots over links that stay open.
-func (s *Spreader) tellAll(ctx context.Context, roots []foxtailstack.Address, links map[foxtailstack.Address]*link) {
-	message := summary{
-		Instance: s.Self.Name,
-		Counts:   s.census.subtree(s.Replica.Snapshot().Revision),
-	}
-	for _, address := range roots {
-		l := links[address]
-		if l == nil {
-			l = &link{}
-			links[address] = l
-		}
-		go l.tell(ctx, s.Dialer, address, message)
+// summary returns what is in force below this root, or nothing while the process
+// may still be counted elsewhere.
+func (s *Spreader) summary() summary {
+	message := summary{Instance: s.Self.Name}
+	if s.settled() {
+		message.Counts = s.census.subtree(s.Replica.Snapshot().Revision)
 	}
+	return message
 }
 
-// link is the stream to another root. The zero value is not open yet.
-type link struct {
-	busy   sync.Mutex
-	mu     sync.Mutex
-	stream Stream
-}
-
-// tell sends a summary, unless the one before is still being sent; the next one
-// makes up for a lost one.
-func (l *link) tell(ctx context.Context, dialer Dialer, address foxtailstack.Address, message summary) {
-	if !l.busy.TryLock() {
+// swap exchanges summaries with another root, unless the exchange before is
+// still going on. The next one makes up for a lost one.
+func (s *Spreader) swap(ctx context.Context, address foxtailstack.Address, busy *sync.Mutex) {
+	if !busy.TryLock() {
 		return
 	}
-	defer l.busy.Unlock()
-	stream := l.current()
-	if stream == nil {
-		opened, err := dialer.Open(ctx, address, StreamSummary)
-		if err != nil {
-			return
-		}
-		l.set(opened)
-		stream = opened
+	defer busy.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, summaryTimeout)
+	defer cancel()
+	stream, err := s.Dialer.Open(ctx, address, StreamSummary)
+	if err != nil {
+		return
 	}
-	if stream.Send(message) != nil {
-		l.cancel()
+	defer context.AfterFunc(ctx, stream.Cancel)()
+	defer stream.Cancel()
+	var answer summary
+	if stream.Send(s.summary()) == nil && stream.Receive(&answer) == nil {
+		s.census.setRoot(answer)
 	}
 }
 
-// current returns the open stream, or nil.
-func (l *link) current() Stream {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.stream
-}
-
-// set keeps an open stream.
-func (l *link) set(stream Stream) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.stream = stream
-}
-
-// cancel ends the stream if it is open.
-func (l *link) cancel() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.stream != nil {
-		l.stream.Cancel()
-		l.stream = nil
+// takeSummary takes the summary of another root and answers with the own one.
+func (s *Spreader) takeSummary(stream Stream) {
+	var message summary
+	if stream.Receive(&message) != nil {
+		return
 	}
+	s.census.setRoot(message)
+	_ = stream.Send(s.summary()) // the next exchange makes up for a lost one
 }
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -110,7 +110,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer stream.Cancel()
+	defer func() { leave(stream, err) }()
 	err = stream.Send(subscribe{
 		Revision: s.Replica.Snapshot().Revision,
 		Mode:     modeFollow,
@@ -152,6 +152,16 @@
 	}
 }
 
+// leave ends the stream to a relay. That to a silent one stays open until the
+// connection has been given up as well, so that the next attempt makes another.
+func leave(stream Stream, reason error) {
+	if errors.Is(reason, errSilent) {
+		time.AfterFunc(2*silenceLimit, stream.Cancel)
+		return
+	}
+	stream.Cancel()
+}
+
 // receive reads updates from a stream until it ends.
 func receive(ctx context.Context, stream Stream) (<-chan update, <-chan error) {
 	updates := make(chan update)
--- a/fleet/list.go
+++ b/fleet/list.go
@@ -56,7 +56,10 @@
 // leaves the former plan in use.
 func (s *Spreader) refresh(ctx context.Context) {
 	if s.List == nil {
-		s.plan.Store(&plan{poll: true})
+		s.plan.Store(&plan{
+			poll:     true,
+			capacity: minCapacity,
+		})
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -70,8 +73,9 @@
 	}
 	if s.plan.Load() == nil {
 		s.plan.Store(&plan{
-			poll:    true,
-			unknown: true,
+			poll:     true,
+			unknown:  true,
+			capacity: minCapacity,
 		})
 	}
 }
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -13,6 +13,9 @@
 	pollers = 3
 	// askedPeers is the number of relays that a starting process asks.
 	askedPeers = 3
+	// minCapacity is the highest number of followers of a relay where there are
+	// enough relays for that; each takes some 300 bytes a second.
+	minCapacity = 32
 	// spares is the number of further processes that a starting one asks.
 	spares = 2
 )
@@ -33,7 +36,9 @@
 	// peers are the processes to ask at the start.
 	peers []foxtailstack.Address
 	// roots are the other pollers of all data centres.
-	roots []foxtailstack.Address
+	roots []foxtailstack.Instance
+	// capacity is the highest number of followers.
+	capacity int64
 	// listed is the number of processes that are to stay.
 	listed int
 }
@@ -44,11 +49,15 @@
 	var p plan
 	byCentre := map[foxtailstack.DataCentre][]foxtailstack.Instance{}
 	var entries, others []foxtailstack.Instance
+	around := 0
 	for _, instance := range list {
 		if instance.Leaving {
 			continue
 		}
 		p.listed++
+		if instance.Centre == self.Centre {
+			around++
+		}
 		switch {
 		case instance.Role == foxtailstack.RoleEntry:
 			byCentre[instance.Centre] = append(byCentre[instance.Centre], instance)
@@ -62,7 +71,7 @@
 			if instance.Name == self.Name {
 				p.root = true
 			} else {
-				p.roots = append(p.roots, instance.Address)
+				p.roots = append(p.roots, instance)
 			}
 		}
 	}
@@ -70,6 +79,7 @@
 	if len(local) == 0 {
 		local = entries
 	}
+	p.capacity = max(minCapacity, int64(2*around/max(1, len(local))))
 	relays := local
 	if self.Role == foxtailstack.RoleEntry {
 		relays = rank(pickKey+string(self.Centre), local, pollers)
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -47,20 +47,9 @@
 	s.serve(ctx, stream)
 }
 
-// ServeSummary takes the summaries of another root.
+// ServeSummary takes the summary of another root and answers with the own one.
 func (s *Spreader) ServeSummary(_ context.Context, stream *wire.Stream) {
-	s.takeSummaries(stream)
-}
-
-// takeSummaries keeps the summaries of another root until the stream ends.
-func (s *Spreader) takeSummaries(stream Stream) {
-	for {
-		var message summary
-		if stream.Receive(&message) != nil {
-			return
-		}
-		s.census.setRoot(message)
-	}
+	s.takeSummary(stream)
 }
 
 // serve sends updates until the stream or ctx ends.
@@ -78,6 +67,10 @@
 		_, _ = s.send(stream, first.Revision)
 		return
 	}
+	defer s.followers.Add(-1)
+	if s.followers.Add(1) > s.planned().capacity {
+		return // the follower tries the next relay
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer s.census.dropChild(stream)
--- a/fleet/spread.go
+++ b/fleet/spread.go
@@ -82,6 +82,8 @@
 	// moved is when the process last changed its place in the tree, in
 	// nanoseconds since 1970.
 	moved atomic.Int64
+	// followers is the number of processes that follow this one.
+	followers atomic.Int64
 	// heard is when a relay was last heard, in nanoseconds since 1970.
 	heard atomic.Int64
 	// peak is the highest number of processes counted since the list was read.
@@ -263,7 +265,10 @@
 func (s *Spreader) planned() *plan {
 	p := s.plan.Load()
 	if p == nil {
-		return &plan{poll: true}
+		return &plan{
+			poll:     true,
+			capacity: minCapacity,
+		}
 	}
 	return p
 }
--- a/fleet/spread_test.go
+++ b/fleet/spread_test.go
@@ -209,12 +209,14 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	n.bytes.Add(overhead) // the first message names the kind
+	peer.bytes.Add(overhead)
 	near, far := newPipe(n, peer)
 	go func() {
 		if kind == StreamConfig {
 			peer.serve(far.ctx, far)
 		} else {
-			peer.takeSummaries(far)
+			peer.takeSummary(far)
 		}
 		time.Sleep(time.Millisecond) // what was sent arrives
 		far.Cancel()
@@ -543,8 +545,9 @@
 			for _, other := range w.nodes {
 				if other != n {
 					n.plan.Store(&plan{
-						listed:  2,
-						sources: []foxtailstack.Address{other.Self.Address},
+						listed:   2,
+						capacity: minCapacity,
+						sources:  []foxtailstack.Address{other.Self.Address},
 					})
 				}
 			}
