--- a/measure/agenda.go
+++ b/measure/agenda.go
@@ -1,7 +1,7 @@
 package measure
 
 import (
-	"container/heap"
+	queue "container/heap"
 	"time"
 )
 
@@ -22,7 +22,7 @@
 
 // in runs do after a time.
 func (a *agenda) in(d time.Duration, do func()) {
-	heap.Push(&a.events, event{
+	queue.Push(&a.events, event{
 		at:    a.now.Add(d),
 		order: a.order,
 		do:    do,
@@ -42,7 +42,7 @@
 func (a *agenda) run(d time.Duration) {
 	end := a.now.Add(d)
 	for len(a.events) > 0 && !a.events[0].at.After(end) {
-		next, _ := heap.Pop(&a.events).(event)
+		next, _ := queue.Pop(&a.events).(event)
 		a.now = next.at
 		next.do()
 	}
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -52,6 +52,7 @@
 var experiments = map[string]Experiment{
 	"overload": Overload,
 	"route":    Route,
+	"idle":     Idle,
 }
 
 // Names returns the names of all experiments in order.
--- a/upstream/probe_test.go
+++ b/upstream/probe_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/keys"
@@ -15,6 +16,10 @@
 // headers is the length of the headers of an IPv4 and a UDP packet in bytes.
 const headers = 28
 
+// probePause is the time between two probes of an entry, which decides how many
+// acknowledgements travel alone.
+const probePause = 60 * time.Millisecond
+
 // relay passes packets between one client and a server and counts their bytes.
 type relay struct {
 	front, back *net.UDPConn
@@ -149,6 +154,7 @@
 			b.Fatal(err)
 		}
 		n++
+		time.Sleep(probePause)
 	}
 	b.ReportMetric(float64(r.bytes.Load()-before)/float64(n), "B/probe")
 }
