Pick ports for scripts that clients cannot take

A script failed now and then with a process not ready after 20 s (1 in 9 runs of all scripts, three at once). Its log, which the failure now shows, says that the UDP address was in use: the port was chosen among those that the system gives to clients and was checked by TCP alone, while each QUIC connection takes a UDP port of that range.

--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -173,7 +174,7 @@
 	}
 	go func() { p.exited <- p.cmd.Wait() }()
 	s.processes[name] = p
-	return await(startTimeout, func() bool {
+	err = await(startTimeout, func() bool {
 		if address == "" {
 			return strings.Contains(p.log.String(), "started")
 		}
@@ -183,6 +184,10 @@
 		}
 		return err == nil
 	})
+	if err != nil {
+		return fmt.Errorf("%w: %s", err, p.log)
+	}
+	return nil
 }
 
 // signal sends a signal to the process that a script names.
@@ -255,14 +260,29 @@
 	}
 }
 
-// freeAddress returns a loopback address whose port is free.
+// Ports of scripts lie below those that the system gives to clients, which
+// would otherwise take one between its choice and its use.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
+// freeAddress returns a loopback address whose port is free by TCP and UDP.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		packets, err := net.ListenPacket("udp", address)
+		_ = listener.Close()
+		if err != nil {
+			continue
+		}
+		_ = packets.Close()
+		return address
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 // await waits until ready returns true.
