Let no entry spend in advance while a team is in debt

An entry may spend one second's share, and the request beyond it, before its first batch arrives. A grant that falls short now says how long the pool is in debt, and the entry spends nothing in advance until then; a pool keeps debts of ten minutes instead of ten seconds.

A list of instances that becomes empty no longer makes each entry the only one.

--- a/team/account.go
+++ b/team/account.go
@@ -44,6 +44,8 @@
 	Tokens foxtailstack.Tokens `cbor:"1,keyasint"`
 	// Pause is when to ask again if Tokens is less than was wanted.
 	Pause time.Duration `cbor:"2,keyasint,omitempty"`
+	// Debt is the time until what was spent in advance is earned.
+	Debt time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Limit is what an entry must know of a team's limit.
@@ -110,7 +112,7 @@
 	a.asking = true
 	a.open = Ask{
 		Want: foxtailstack.Tokens(math.Ceil(a.demand*horizon.Seconds() - max(a.balance, 0))),
-		Owed: foxtailstack.Tokens(math.Ceil(max(-a.balance, 0))),
+		Owed: foxtailstack.Tokens(max(-a.balance, 0)),
 	}
 	return a.open, true
 }
@@ -124,7 +126,7 @@
 	a.next = now
 	if grant.Tokens < a.open.Want {
 		a.next = now.Add(max(grant.Pause, minPause))
-		a.blocked = a.next
+		a.blocked = now.Add(max(grant.Debt, validity))
 	}
 }
 
@@ -160,7 +162,8 @@
 }
 
 // mayAdvance reports whether the entry may spend before its batch arrives: at
-// most one second's share, and the request that goes beyond it.
+// most one second's share, and the request that goes beyond it. It may not while
+// the last grant says that the team is at its limit.
 func (a *Account) mayAdvance(now time.Time, limit Limit) bool {
 	return !a.alone && !now.Before(a.blocked) && a.balance > -limit.share()*horizon.Seconds()
 }
--- a/team/limiter.go
+++ b/team/limiter.go
@@ -15,6 +15,9 @@
 const (
 	// listInterval is the time between two reads of the list of instances.
 	listInterval = 2 * time.Second
+	// forgetInterval is the time between two looks for pools and accounts that
+	// are no longer in use.
+	forgetInterval = 10 * time.Second
 	// askTimeout bounds one ask.
 	askTimeout = 500 * time.Millisecond
 	// backlog is the number of messages to the owner's goroutine that may wait.
@@ -228,7 +231,7 @@
 func (l *Limiter) Run(ctx context.Context) {
 	l.start()
 	go l.follow(ctx)
-	ticker := time.NewTicker(maxDebt)
+	ticker := time.NewTicker(forgetInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -269,8 +272,7 @@
 	defer ticker.Stop()
 	for {
 		instances, err := l.Instances.Instances(ctx)
-		if err == nil {
-			entries := entriesOf(instances)
+		if entries := entriesOf(instances); err == nil && len(entries) > 0 {
 			l.entries.Store(&entries)
 		}
 		select {
--- a/team/pool.go
+++ b/team/pool.go
@@ -14,7 +14,7 @@
 	// owner that takes over does not know what the former one granted.
 	opening = burst / 4
 	// maxDebt is the time whose tokens a pool may owe.
-	maxDebt = 10 * time.Second
+	maxDebt = 10 * time.Minute
 	// holding is the time for which an entry that asked counts as a holder.
 	holding = 2 * time.Second
 )
@@ -50,6 +50,7 @@
 	return Grant{
 		Tokens: given,
 		Pause:  p.pause(float64(rate), float64(ask.Want-given)),
+		Debt:   time.Duration(max(-p.balance, 0) / float64(rate) * float64(time.Second)),
 	}
 }
 
