Measure overload with the entry's own rule for retries

The experiment had a budget of its own in package team; entries now have one, and the experiment follows its rule in virtual time.

--- a/measure/overload.go
+++ b/measure/overload.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
-	"github.com/foxtailstack/foxtailstack/team"
 )
 
 const (
@@ -85,7 +84,7 @@
 type overload struct {
 	*route
 	load    float64
-	budgets map[foxtailstack.TeamName][]*team.Retries
+	budgets map[foxtailstack.TeamName][]*retryBudget
 	// fifo puts all teams into one queue.
 	fifo bool
 
@@ -148,7 +147,7 @@
 		o.entries = append(o.entries, newRoutePolicy("ours", o.route, n))
 	}
 	if policy == "ours" {
-		o.budgets = map[foxtailstack.TeamName][]*team.Retries{}
+		o.budgets = map[foxtailstack.TeamName][]*retryBudget{}
 	}
 	o.offer(smallTeam, func() float64 { return smallLoad })
 	for _, big := range bigTeams {
@@ -280,7 +279,7 @@
 func (o *overload) answered(entry int, c *overloadCall) {
 	o.note(c, c.first)
 	if o.budgets != nil {
-		o.budget(entry, c.team).Succeeded()
+		o.budget(entry, c.team).success(o.now)
 	}
 	if !o.counted() {
 		return
@@ -320,10 +319,10 @@
 }
 
 // budget returns the budget of retries of a team at an entry.
-func (o *overload) budget(entry int, name foxtailstack.TeamName) *team.Retries {
+func (o *overload) budget(entry int, name foxtailstack.TeamName) *retryBudget {
 	if o.budgets[name] == nil {
 		for range routeEntries {
-			o.budgets[name] = append(o.budgets[name], &team.Retries{})
+			o.budgets[name] = append(o.budgets[name], &retryBudget{})
 		}
 	}
 	return o.budgets[name][entry]
@@ -331,7 +330,7 @@
 
 // mayRetry reports whether another attempt may be made.
 func (o *overload) mayRetry(entry int, name foxtailstack.TeamName) bool {
-	return o.budgets == nil || o.budget(entry, name).Spend()
+	return o.budgets == nil || o.budget(entry, name).take(o.now)
 }
 
 // recovery returns the seconds after the overload until service is normal.
