Doubt old sightings and wait for the probes of homes

A request waited for any two probes, so that a home that answered third, or not at all because its sidecar hung, was still chosen by what had been seen of it long before.

--- a/balance/chooser.go
+++ b/balance/chooser.go
@@ -145,9 +145,10 @@
 	c.start()
 	c.refresh(ctx)
 	proposal := c.directory.Propose(time.Now(), q)
-	stale, needed := proposal.Stale(time.Now())
-	settled, asked := c.probe(stale)
-	await(ctx, settled, min(needed, asked))
+	awaited, rest := proposal.Stale(time.Now())
+	settled, asked := c.probe(awaited)
+	c.probe(rest)
+	await(ctx, settled, asked)
 	return proposal.Pick(time.Now())
 }
 
--- a/balance/cost.go
+++ b/balance/cost.go
@@ -6,8 +6,13 @@
 	"github.com/foxtailstack/foxtailstack"
 )
 
-// unknownWait is the wait expected of an upstream that no probe has reached.
-const unknownWait = 200 * time.Millisecond
+const (
+	// unknownWait is the least wait expected of an upstream that no probe has
+	// reached lately.
+	unknownWait = 200 * time.Millisecond
+	// lately is the age up to which a sighting is believed.
+	lately = 2 * time.Second
+)
 
 // Cheapest is a foxtailstack.Balancer that picks the candidate of least cost,
 // and among equals the first. The zero value is ready for use.
@@ -27,8 +32,8 @@
 // costOf returns the time that a call loses at a candidate.
 func costOf(c foxtailstack.Candidate) time.Duration {
 	wait := c.Wait
-	if !c.Known {
-		wait = unknownWait
+	if !c.Known || c.Age > lately {
+		wait = max(wait, unknownWait)
 	}
 	return wait + c.Miss + c.Distance
 }
--- a/balance/directory_test.go
+++ b/balance/directory_test.go
@@ -319,6 +319,34 @@
 	}
 }
 
+// An upstream that no probe has reached lately is not believed to be free, and
+// the home is probed even if enough others are fresh.
+func TestProposalDoubtsOldSightings(t *testing.T) {
+	now := time.Unix(0, 0)
+	query := entry.Query{Service: service}
+	free := upstream.Sighting{Load: upstream.Load{Slots: 4}}
+	members := []fleet.Member{member(1, "a"), member(2, "a"), member(3, "a")}
+	d := Directory{Centre: "a"}
+	d.Update(snapshotOf(members...), nil)
+	home, _ := d.Propose(now, query).Pick(now)
+	d.Saw(now, home, free, 0)
+	d.Done(now, home, entry.Result{Outcome: foxtailstack.Ran})
+	now = now.Add(lately + time.Millisecond)
+	for _, m := range members {
+		if m != home {
+			d.Saw(now, m, free, 0)
+		}
+	}
+	proposal := d.Propose(now, query)
+	awaited, _ := proposal.Stale(now)
+	if diff := cmp.Diff([]Target{home}, awaited); diff != "" {
+		t.Error(diff)
+	}
+	if got, _ := proposal.Pick(now); got == home {
+		t.Error("an old sighting was believed")
+	}
+}
+
 func TestProposalPicksTheCheapest(t *testing.T) {
 	now := time.Unix(0, 0)
 	query := entry.Query{
--- a/balance/proposal.go
+++ b/balance/proposal.go
@@ -161,16 +161,23 @@
 }
 
 // Stale returns the candidates that are to be probed, since no probe has seen
-// them lately, and how many of the answers the attempt should wait for.
-func (o Proposal) Stale(now time.Time) ([]Target, int) {
-	var stale []Target
-	for _, p := range o.peers {
-		if age, known := p.age(now); !known || age > maxAge {
-			stale = append(stale, p.member)
+// them lately: those whose answers the attempt waits for, which are the homes and
+// as many others as make enough, and the rest.
+func (o Proposal) Stale(now time.Time) (awaited, rest []Target) {
+	var others []Target
+	for i, p := range o.peers {
+		age, known := p.age(now)
+		switch {
+		case known && age <= maxAge:
+		case i < o.homes:
+			awaited = append(awaited, p.member)
+		default:
+			others = append(others, p.member)
 		}
 	}
-	fresh := len(o.peers) - len(stale)
-	return stale, max(0, min(enough, len(o.peers))-fresh)
+	fresh := len(o.peers) - len(awaited) - len(others)
+	more := max(0, min(enough-fresh-len(awaited), len(others)))
+	return append(awaited, others[:more]...), others[more:]
 }
 
 // Pick returns the upstream for the attempt, which counts as in flight until
--- a/measure/route_policy.go
+++ b/measure/route_policy.go
@@ -236,12 +236,12 @@
 		}
 		begin(p.worker(target))
 	}
-	stale, needed := proposal.Stale(p.route.now)
+	awaited, rest := proposal.Stale(p.route.now)
 	asked := 0
-	for _, target := range stale {
+	for _, target := range awaited {
 		sent := p.probe(target, func() {
-			needed--
-			if needed == 0 {
+			asked--
+			if asked == 0 {
 				pick()
 			}
 		})
@@ -249,8 +249,10 @@
 			asked++
 		}
 	}
-	needed = min(needed, asked)
-	if needed <= 0 {
+	for _, target := range rest {
+		p.probe(target, func() {})
+	}
+	if asked == 0 {
 		pick()
 		return
 	}
