--- a/entry/server.go
+++ b/entry/server.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
-	"strings"
-	"time"
 
 	"github.com/alexedwards/flow"
 	"github.com/foxtailstack/foxtailstack"
@@ -28,10 +24,6 @@
 // typeEvents is the media type of server-sent events.
 const typeEvents = "text/event-stream"
 
-// maxBody is the length of the longest request body in bytes. It fits into one
-// message to a sidecar.
-const maxBody = 768 << 10
-
 // Events of the entry.
 const (
 	EventAttempt timeline.Kind = "entry-attempt"
@@ -90,60 +82,3 @@
 	s.settle(req, out, err)
 	out.finish(err)
 }
-
-// parse returns the request, or the problem with it.
-func (s *Server) parse(w http.ResponseWriter, r *http.Request) (*request, *problem) {
-	snapshot := s.Replica.Snapshot()
-	if snapshot.Revision == 0 {
-		return nil, refuse(http.StatusServiceUnavailable, "the entry has no configuration yet")
-	}
-	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	name, ok := s.teams.Caller(snapshot, token)
-	if !ok {
-		return nil, refuse(http.StatusUnauthorized, "the token belongs to no team")
-	}
-	id := fleet.ServiceID{
-		Fleet:   foxtailstack.FleetName(r.PathValue("fleet")),
-		Service: foxtailstack.ServiceName(r.PathValue("service")),
-	}
-	service, ok := snapshot.Services[id]
-	if !ok {
-		return nil, refuse(http.StatusNotFound, "no service "+id.String())
-	}
-	policy, ok := snapshot.Policies[fleet.PolicyID{
-		Fleet:  id.Fleet,
-		Policy: service.Policy,
-	}]
-	if !ok {
-		return nil, refuse(http.StatusServiceUnavailable, "no policy "+string(service.Policy))
-	}
-	req := &request{
-		team:        name,
-		id:          id,
-		service:     service,
-		policy:      policy,
-		idempotency: r.Header.Get(HeaderIdempotency),
-		contentType: r.Header.Get("Content-Type"),
-		stream:      strings.Contains(r.Header.Get("Accept"), typeEvents),
-	}
-	if !policy.Idempotent && req.idempotency == "" {
-		return nil, refuse(http.StatusBadRequest, "the service needs a header "+HeaderIdempotency)
-	}
-	if text := r.Header.Get(HeaderDeadline); text != "" {
-		deadline, err := time.ParseDuration(text)
-		if err != nil || deadline <= 0 {
-			return nil, refuse(http.StatusBadRequest, "header "+HeaderDeadline+" is not a positive duration")
-		}
-		req.deadline = deadline
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	var tooLong *http.MaxBytesError
-	if errors.As(err, &tooLong) {
-		return nil, refuse(http.StatusRequestEntityTooLarge, "the body is too long")
-	}
-	if err != nil {
-		return nil, refuse(http.StatusBadRequest, "the body was cut short")
-	}
-	req.body = body
-	return req, nil
-}
