fleet: test the counting of moved followers with the busiest poller

The test killed any poller after 10 s. Without the time for which a moved process stays uncounted it failed only in some runs, since the poller may have had few followers and the count before the list was read was still high.

--- a/fleet/spread_test.go
+++ b/fleet/spread_test.go
@@ -214,11 +214,15 @@
 		late.cancel()
 		w.nodes["b-sidecar-0"].frozen.Store(true)
 		revision := w.commit(inForceLimit)
-		time.Sleep(10 * time.Second)
-		for range 2 {
-			w.pollers("a")[0].cancel()
-			w.checkMissing(revision, 15*time.Second)
+		time.Sleep(40 * time.Second) // the list has been read again
+		busiest := w.pollers("a")[0]
+		for _, n := range w.pollers("a") {
+			if n.followers.Load() > busiest.followers.Load() {
+				busiest = n
+			}
 		}
+		busiest.cancel()
+		w.checkMissing(revision, 15*time.Second)
 	})
 }
 
