Show the log of a process that does not get ready in a scenario

One of several runs of the scripts on a busy machine failed with "not ready after 20s" for an entry, without a word of the cause. The error now carries what the process has written.

--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -188,7 +188,7 @@
 	}
 	go func() { p.exited <- p.cmd.Wait() }()
 	s.processes[name] = p
-	return await(startTimeout, func() bool {
+	err = await(startTimeout, func() bool {
 		if address == "" {
 			return strings.Contains(p.log.String(), "started")
 		}
@@ -198,6 +198,10 @@
 		}
 		return err == nil
 	})
+	if err != nil {
+		err = fmt.Errorf("%s: %w: %s", name, err, p.log)
+	}
+	return err
 }
 
 // signal sends a signal to the process that a script names.
