--- a/balance/directory_test.go
+++ b/balance/directory_test.go
@@ -89,6 +89,10 @@
 		Outcome: foxtailstack.NotRun,
 		Refused: true,
 	}
+	crashed := entry.Result{
+		Outcome: foxtailstack.Unknown,
+		Crashed: true,
+	}
 	type step struct {
 		after  time.Duration
 		result entry.Result
@@ -178,6 +182,15 @@
 			}},
 			want: Healthy,
 		},
+		{
+			name: "requests that crash it",
+			steps: []step{{
+				after:  0,
+				result: crashed,
+				times:  50,
+			}},
+			want: Healthy,
+		},
 		{
 			name: "slow against the others",
 			steps: []step{{
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -60,6 +60,9 @@
 	// References refuses a change that would leave a reference to an absent
 	// resource.
 	References bool
+	// Assume lists absent resources that may be referred to all the same, for a
+	// check of several changes of which none is made.
+	Assume []ID
 }
 
 // Store commits changes to the table and reads them back.
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -50,9 +50,11 @@
 
 // experiments holds the experiments by name.
 var experiments = map[string]Experiment{
+	"idle":     Idle,
+	"path":     Path,
 	"overload": Overload,
 	"route":    Route,
-	"idle":     Idle,
+	"expert":   Expert,
 }
 
 // Names returns the names of all experiments in order.
--- a/node/entry.go
+++ b/node/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/alexedwards/flow"
@@ -16,18 +17,22 @@
 	"github.com/foxtailstack/foxtailstack/platform"
 	"github.com/foxtailstack/foxtailstack/settings"
 	"github.com/foxtailstack/foxtailstack/team"
+	"github.com/foxtailstack/foxtailstack/timeline"
 	"go.uber.org/zap"
 )
 
 // Entry is an entry process.
 type Entry struct {
 	*base
-	replica  *fleet.Replica
-	chooser  *balance.Chooser
-	limiter  *team.Limiter
-	listener net.Listener
-	handler  *flow.Mux
-	callers  *entry.Server
+	replica   *fleet.Replica
+	spreader  *fleet.Spreader
+	operators *fleet.API
+	chooser   *balance.Chooser
+	listener  net.Listener
+	handler   *flow.Mux
+	callers   *entry.Server
+	entries   *peers
+	limiter   *team.Limiter
 }
 
 // NewEntry binds the addresses of an entry.
@@ -36,7 +41,13 @@
 		base:    newBase(cfg, config, log),
 		replica: &fleet.Replica{},
 		handler: flow.New(),
+		entries: &peers{
+			list: listOf(cfg),
+			role: foxtailstack.RoleEntry,
+			self: cfg.Name,
+		},
 	}
+	e.spreader = e.newSpreader(foxtailstack.RoleEntry, e.replica)
 	instances := listOf(cfg)
 	e.limiter = &team.Limiter{
 		Replica:   e.replica,
@@ -45,14 +56,6 @@
 		Name:      cfg.Name,
 	}
 	e.mux.Handle(team.StreamBudget, e.limiter.ServeBudget)
-	err := e.listenPeers(config)
-	if err != nil {
-		return nil, err
-	}
-	e.listener, err = listenHTTP(cfg.Listen.Callers, config.Listen, cfg.TLS.Plain)
-	if err != nil {
-		return nil, err
-	}
 	e.chooser = &balance.Chooser{
 		Replica:   e.replica,
 		Client:    e.client,
@@ -66,16 +69,29 @@
 		Ring:     e.ring,
 		Chooser:  e.chooser,
 		Limiter:  e.limiter,
+		Peers:    e.entries.Addresses,
+	}
+	e.mux.Handle(entry.StreamCrash, e.callers.ServeCrash)
+	err := e.listenPeers(config)
+	if err != nil {
+		return nil, err
+	}
+	e.listener, err = listenHTTP(cfg.Listen.Callers, config.Listen, cfg.TLS.Plain)
+	if err != nil {
+		return nil, err
 	}
 	e.callers.Routes(e.handler)
 	e.handler.HandleFunc(pathReady, e.serveReady, http.MethodGet)
-	operators := &fleet.API{
-		Store:   fleet.Store{Table: e.table},
-		Replica: e.replica,
+	e.operators = e.newAPI()
+	e.operators.Routes(e.handler)
+	events := &timeline.Collector{
+		Client: e.client,
+		Ring:   e.ring,
+		Peers:  e.others,
 	}
-	operators.Routes(e.handler)
+	events.Routes(e.handler, e.operators.Guard)
 	bookings := &booking.API{Resolver: e.callers.Resolver()}
-	bookings.Routes(e.handler, nil)
+	bookings.Routes(e.handler, e.operators.Guard)
 	return e, nil
 }
 
@@ -94,11 +110,8 @@
 	e.log.Info("entry started", zap.Stringer("callers", e.Addr()), zap.Stringer("peers", e.peers))
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	poller := fleet.Poller{
-		Store:   fleet.Store{Table: e.table},
-		Replica: e.replica,
-	}
-	go poller.Run(background)
+	go e.spreader.Run(background)
+	defer context.AfterFunc(ctx, e.operators.Close)()
 	go e.serveStatus(background)
 	go e.awaitConfig(background, e.replica)
 	go e.chooser.Run(background)
@@ -123,6 +136,17 @@
 	return nil
 }
 
+// others returns the addresses of the other entries and of all sidecars.
+func (e *Entry) others(ctx context.Context) []foxtailstack.Address {
+	addresses := slices.Clone(e.entries.Addresses(ctx))
+	for _, members := range e.replica.Snapshot().Upstreams {
+		for _, member := range members {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
+
 // listOf returns the platform's list of instances, or nil if there is none.
 func listOf(cfg settings.Settings) foxtailstack.InstanceList {
 	if cfg.Platform.List == "" {
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/foxtailstack/foxtailstack/team"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -26,6 +28,15 @@
 	poll = 10 * time.Millisecond
 )
 
+// Ports of the processes.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
+// operatorToken is the token of the first admin.
+const operatorToken = "operator-token"
+
 var errUsage = errors.New("wrong arguments")
 
 // process is one process of the binary.
@@ -107,7 +118,10 @@
 		return s.launch(args[1], peers, "", "sidecar", "--settings", path)
 	case args[0] == "entry" && len(args) == 2:
 		callers := freeAddress()
-		path, err := s.writeSettings(args[1], fmt.Sprintf("[listen]\ncallers = %q\npeers = %q\n", callers, s.peerAddress(args[1])))
+		path, err := s.writeSettings(args[1], fmt.Sprintf(
+			"[listen]\ncallers = %q\npeers = %q\n[operators]\nhash = %q\n",
+			callers, s.peerAddress(args[1]), team.Hash(operatorToken),
+		))
 		if err != nil {
 			return err
 		}
@@ -174,7 +188,7 @@
 	}
 	go func() { p.exited <- p.cmd.Wait() }()
 	s.processes[name] = p
-	err = await(startTimeout, func() bool {
+	return await(startTimeout, func() bool {
 		if address == "" {
 			return strings.Contains(p.log.String(), "started")
 		}
@@ -184,10 +198,6 @@
 		}
 		return err == nil
 	})
-	if err != nil {
-		return fmt.Errorf("%w: %s", err, p.log)
-	}
-	return nil
 }
 
 // signal sends a signal to the process that a script names.
@@ -214,6 +224,25 @@
 	}
 }
 
+// ready waits until an entry takes new work.
+func (s *system) ready(_ *testscript.TestScript, args []string) error {
+	if len(args) != 1 || s.processes[args[0]] == nil {
+		return errUsage
+	}
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	return await(startTimeout, func() bool {
+		response, err := client.Get(s.processes[args[0]].url + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
 // insist sends SIGTERM over and over until a process ends; it must exit with 0.
 func (s *system) insist(_ *testscript.TestScript, args []string) error {
 	for {
@@ -260,14 +289,9 @@
 	}
 }
 
-// Ports of scripts lie below those that the system gives to clients, which
-// would otherwise take one between its choice and its use.
-const (
-	firstPort = 10000
-	lastPort  = 32000
-)
-
-// freeAddress returns a loopback address whose port is free by TCP and UDP.
+// freeAddress returns a loopback address whose port is free for TCP and UDP. It
+// lies below the ports that the kernel gives to connections, one of which could
+// take it before a process listens.
 func freeAddress() string {
 	for {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
@@ -275,8 +299,8 @@
 		if err != nil {
 			continue
 		}
-		packets, err := net.ListenPacket("udp", address)
 		_ = listener.Close()
+		packets, err := net.ListenPacket("udp", address)
 		if err != nil {
 			continue
 		}
