--- a/measure/overload.go
+++ b/measure/overload.go
@@ -3,9 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
-	"slices"
-	"strconv"
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
@@ -34,48 +33,8 @@
 // errLate means that the caller's deadline passed.
 var errLate = errors.New("deadline passed")
 
-// bigTeams are the teams that overload the system, by their parts of the load.
-var bigTeams = []struct {
-	name foxtailstack.TeamName
-	part float64
-}{
-	{
-		name: "a",
-		part: 0.4,
-	},
-	{
-		name: "b",
-		part: 0.25,
-	},
-	{
-		name: "c",
-		part: 0.15,
-	},
-	{
-		name: "d",
-		part: 0.2 / 6,
-	},
-	{
-		name: "e",
-		part: 0.2 / 6,
-	},
-	{
-		name: "f",
-		part: 0.2 / 6,
-	},
-	{
-		name: "g",
-		part: 0.2 / 6,
-	},
-	{
-		name: "h",
-		part: 0.2 / 6,
-	},
-	{
-		name: "i",
-		part: 0.2 / 6,
-	},
-}
+// bigParts are the parts of the load of the teams that overload the system.
+var bigParts = []float64{0.4, 0.25, 0.15, 0.2 / 6, 0.2 / 6, 0.2 / 6, 0.2 / 6, 0.2 / 6, 0.2 / 6}
 
 // smallTeam is the team whose share is watched.
 const smallTeam foxtailstack.TeamName = "small"
@@ -150,8 +109,9 @@
 		o.budgets = map[foxtailstack.TeamName][]*retryBudget{}
 	}
 	o.offer(smallTeam, func() float64 { return smallLoad })
-	for _, big := range bigTeams {
-		o.offer(big.name, func() float64 { return big.part * (o.present() - smallLoad) })
+	for n, part := range bigParts {
+		name := foxtailstack.TeamName(fmt.Sprint("big", n))
+		o.offer(name, func() float64 { return part * (o.present() - smallLoad) })
 	}
 	o.run(overloadTime)
 	return o.results(policy)
@@ -332,79 +292,3 @@
 func (o *overload) mayRetry(entry int, name foxtailstack.TeamName) bool {
 	return o.budgets == nil || o.budget(entry, name).take(o.now)
 }
-
-// recovery returns the seconds after the overload until service is normal.
-func (o *overload) recovery() int {
-	last := int((overloadTime - overloadEnds - overloadDeadline) / time.Second)
-	for second := last; second >= 0; second-- {
-		waits := o.waits[second]
-		slow := 0
-		for _, wait := range waits {
-			if wait < 0 || wait > normalWait {
-				slow++
-			}
-		}
-		if slow*20 > len(waits) {
-			return second + 1
-		}
-	}
-	return 0
-}
-
-// returns returns the seconds after the overload for which callers that come
-// back keep the load above the capacity.
-func (o *overload) returns() int {
-	second := 0
-	for float64(o.arrivals[second]) > o.capacity() {
-		second++
-	}
-	return second
-}
-
-// results returns the line of the run.
-func (o *overload) results(policy string) Line {
-	length := (overloadEnds - overloadBegins - settling).Seconds()
-	slices.Sort(o.told)
-	told := time.Duration(0)
-	if len(o.told) > 0 {
-		told = o.told[len(o.told)*99/100]
-	}
-	return Line{
-		{
-			Key:   "policy",
-			Value: policy,
-		},
-		{
-			Key:   "load",
-			Value: strconv.FormatFloat(o.load, 'g', -1, 64),
-		},
-		{
-			Key:   "goodput",
-			Value: float64(o.good) / length / o.capacity(),
-		},
-		{
-			Key:   "small",
-			Value: float64(o.smallGood) / float64(max(o.smallAsked, 1)),
-		},
-		{
-			Key:   "refused",
-			Value: float64(o.refusals) / float64(max(o.asked, 1)),
-		},
-		{
-			Key:   "told",
-			Value: told.Round(time.Millisecond / 10),
-		},
-		{
-			Key:   "retries",
-			Value: float64(o.retries) / float64(max(o.successes, 1)),
-		},
-		{
-			Key:   "returns",
-			Value: time.Duration(o.returns()) * time.Second,
-		},
-		{
-			Key:   "recover",
-			Value: time.Duration(max(0, o.recovery()-o.returns())) * time.Second,
-		},
-	}
-}
