--- a/team/limiter_test.go
+++ b/team/limiter_test.go
@@ -26,7 +26,7 @@
 type network struct {
 	limiters []*Limiter
 	// cut tells whether the entry of a number cannot be reached.
-	cut map[int]bool
+	cut [4]atomic.Bool
 	// gone empties the list.
 	gone atomic.Bool
 }
@@ -34,7 +34,7 @@
 func (n *network) Call(ctx context.Context, address foxtailstack.Address, _ wire.Kind, request, response any) error {
 	time.Sleep(5 * time.Millisecond)
 	var at int
-	if _, err := fmt.Sscanf(string(address), "entry%d", &at); err != nil || n.cut[at] {
+	if _, err := fmt.Sscanf(string(address), "entry%d", &at); err != nil || n.cut[at].Load() {
 		return errors.Join(wire.ErrUnreachable, err)
 	}
 	grant, err := n.limiters[at].grant(ctx, request.(Ask))
@@ -81,7 +81,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	net := &network{cut: map[int]bool{}}
+	net := &network{}
 	for range n {
 		net.limiters = append(net.limiters, &Limiter{})
 	}
@@ -105,7 +105,7 @@
 func (n *network) offer(times float64, cost foxtailstack.Tokens, length time.Duration) float64 {
 	var limiters []*Limiter
 	for i, l := range n.limiters {
-		if !n.cut[i] {
+		if !n.cut[i].Load() {
 			limiters = append(limiters, l)
 		}
 	}
@@ -158,7 +158,7 @@
 		{
 			name:  "owner unreachable by the other three",
 			times: 5,
-			do:    func(n *network, owner int) { n.cut[owner] = true },
+			do:    func(n *network, owner int) { n.cut[owner].Store(true) },
 			least: 0.7,
 			most:  0.8,
 			split: false,
