Keep the yes of a replaced rank to that rank itself

Deciding on the confirmations alone is withdrawn: that a replaced rank answers whoever lacks its yes is enough for the group to go on, and keeps the rule that a barred life's yes needs its rank. The script 'every rank was full' now goes through that answer; it fails without it.

--- a/expert/guard_test.go
+++ b/expert/guard_test.go
@@ -177,14 +177,24 @@
 		"every rank was full": func(s *script) {
 			a := s.attempt(1, 0, 5)
 			s.vote(0, a)
+			full := &Vote{
+				ID:   a.ID(),
+				Full: All(2),
+			}
 			s.members[0].Handle(Message{
 				From: 1,
-				Life: 2, // has learned of the switch and gives no vote of its own
-				Vote: &Vote{
-					ID:   a.ID(),
-					Full: All(2),
-				},
+				Life: 2,
+				Vote: full,
 			})
+			s.kill(1)
+			s.members[1].fire(triggerResolve)
+			s.members[1].state = State{ // as learned from ranks that have switched
+				Known: true,
+				Epoch: 1,
+				ID:    a.ID(),
+			}
+			s.drop(0, 1)
+			s.ask(0, 1)
 			s.begin(0, 5, 1)
 		},
 		"a no is final": func(s *script) {
--- a/expert/vote.go
+++ b/expert/vote.go
@@ -82,15 +82,14 @@
 	m.decide()
 }
 
-// decide switches once every rank is known to have held every yes. A rank that
-// knew only itself of the unanimity could start the step and be lost with its
-// vote. A rank that has been replaced since may not give its yes to this one any
-// more, and need not.
+// decide switches once every rank is known to hold every yes. A rank that knew
+// only itself of the unanimity could start the step and be lost with its vote.
 func (m *Member) decide() {
 	all := All(m.size)
-	if m.sealed.Yes == all {
-		m.sealed.Full.Add(m.rank)
+	if m.sealed.Yes != all {
+		return
 	}
+	m.sealed.Full.Add(m.rank)
 	if m.sealed.Full != all {
 		return
 	}
--- a/measure/expert.go
+++ b/measure/expert.go
@@ -152,7 +152,7 @@
 		},
 		{
 			Key:   "skew",
-			Value: average(r.skews),
+			Value: mean(r.skews),
 		},
 		{
 			Key:   "p95",
@@ -184,7 +184,7 @@
 // reportExpertAims reports which aims were met.
 func reportExpertAims(options Options, ranks int, drift string, results map[string]expertResult) error {
 	repack, skew, moves := results["repack"], results["skew"], results["moves"]
-	over := average(skew.skews) / average(repack.skews)
+	over := mean(skew.skews) / mean(repack.skews)
 	share := float64(skew.moved) / math.Max(1, float64(repack.moved))
 	back := float64(skew.back+moves.back) / math.Max(1, float64(skew.moved+moves.moved))
 	return options.Report(Line{
@@ -235,8 +235,8 @@
 	return "not-met"
 }
 
-// average returns the mean of values.
-func average(values []float64) float64 {
+// mean returns the mean of values.
+func mean(values []float64) float64 {
 	sum := 0.0
 	for _, v := range values {
 		sum += v
