Start agents and engines of the group test at times of their own

The race detector crashed within the runtime in 3 of some 12 runs, with bubbles in parallel and one after another. Sleeping instead of timers with functions did not help.

--- a/expert/group_test.go
+++ b/expert/group_test.go
@@ -106,7 +106,12 @@
 }
 
 // engine runs the steps of a rank.
+//
+// Engines and agents start at times of their own, so that no two of their timers
+// are due at once: the race detector of Go 1.26.8 crashed now and then where a
+// ticker is read while the bubble runs other timers of the same instant.
 func (g *group) engine(ctx context.Context, a *Agent, r int) {
+	time.Sleep(time.Microsecond / 2)
 	for ctx.Err() == nil {
 		step, ok := g.next(r)
 		if ok {
@@ -173,8 +178,7 @@
 	})
 }
 
-// after runs event in a goroutine of its own. Timers that run functions crashed
-// the race detector when several bubbles used them at once (Go 1.26.8).
+// after runs event in a goroutine of its own.
 func after(d time.Duration, event func()) {
 	go func() {
 		time.Sleep(d)
@@ -222,6 +226,7 @@
 func (g *group) run(ctx context.Context, proposals int) foxtailstack.Epoch {
 	for r := range g.size {
 		g.start(ctx, r)
+		time.Sleep(time.Microsecond)
 	}
 	time.Sleep(time.Duration(g.size) * 100 * time.Millisecond)
 	for i := range proposals {
