--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -10,7 +10,7 @@
 )
 
 // heartbeat is the time between two updates of a relay without changes.
-const heartbeat = 500 * time.Millisecond
+const heartbeat = 700 * time.Millisecond
 
 // freshness says when the table was last read and when that was last tried.
 type freshness struct {
@@ -47,19 +47,11 @@
 	s.serve(ctx, stream)
 }
 
-// ServeSummary takes the summary of another root.
+// ServeSummary takes the summary of another root and answers with the own one.
 func (s *Spreader) ServeSummary(_ context.Context, stream *wire.Stream) {
 	s.takeSummary(stream)
 }
 
-// takeSummary takes the summary of another root.
-func (s *Spreader) takeSummary(stream Stream) {
-	var message summary
-	if stream.Receive(&message) == nil {
-		s.census.setRoot(message)
-	}
-}
-
 // serve sends updates until the stream or ctx ends.
 func (s *Spreader) serve(ctx context.Context, stream Stream) {
 	var first subscribe
@@ -75,6 +67,10 @@
 		_, _ = s.send(stream, first.Revision)
 		return
 	}
+	defer s.followers.Add(-1)
+	if s.followers.Add(1) > s.planned().capacity {
+		return // the follower tries the next relay
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer s.census.dropChild(stream)
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -50,6 +50,7 @@
 
 // experiments holds the experiments by name.
 var experiments = map[string]Experiment{
+	"spread":   Spread,
 	"idle":     Idle,
 	"path":     Path,
 	"overload": Overload,
--- a/upstream/probe_test.go
+++ b/upstream/probe_test.go
@@ -16,9 +16,9 @@
 // headers is the length of the headers of an IPv4 and a UDP packet in bytes.
 const headers = 28
 
-// probeSpacing is the time between two probes of an entry, which decides how many
+// loadInterval is the time between two probes of an entry, which decides how many
 // acknowledgements travel alone.
-const probeSpacing = 60 * time.Millisecond
+const loadInterval = 60 * time.Millisecond
 
 // relay passes packets between one client and a server and counts their bytes.
 type relay struct {
@@ -154,7 +154,7 @@
 			b.Fatal(err)
 		}
 		n++
-		time.Sleep(probeSpacing)
+		time.Sleep(loadInterval)
 	}
 	b.ReportMetric(float64(r.bytes.Load()-before)/float64(n), "B/probe")
 }
--- a/upstream/transfer.go
+++ b/upstream/transfer.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"mime"
+	"sync"
 
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/zeebo/xxh3"
@@ -19,6 +20,9 @@
 	typeEvents = "text/event-stream"
 )
 
+// chunks holds the buffers of pieces of answers.
+var chunks = sync.Pool{New: func() any { return new([chunkSize]byte) }}
+
 // transfer sends the answer of the engine on to the entry.
 type transfer struct {
 	attempt *attempt
@@ -34,7 +38,12 @@
 	held []byte
 	// last is the number of the last event sent.
 	last uint64
-	done bool
+	// unnumbered is set once an event with data had no number, after which the
+	// stream can't resume.
+	unnumbered bool
+	done       bool
+	// own is how the data of the attempt's events begin, if they bear its id.
+	own []byte
 }
 
 // run sends the whole answer. An answer that the engine cut short is an error.
@@ -56,7 +65,9 @@
 	if kind == typeEvents {
 		err = t.events(answer.Body)
 	} else {
-		err = t.bytes(answer.Body)
+		chunk, _ := chunks.Get().(*[chunkSize]byte)
+		defer chunks.Put(chunk)
+		err = t.bytes(answer.Body, chunk[:])
 	}
 	if err == nil {
 		err = a.conclude()
@@ -71,8 +82,7 @@
 }
 
 // bytes sends a body that has no parts, the last piece with the end.
-func (t *transfer) bytes(body io.Reader) error {
-	buffer := make([]byte, chunkSize)
+func (t *transfer) bytes(body io.Reader, buffer []byte) error {
 	for {
 		n, err := fill(body, buffer)
 		t.count(buffer[:n])
@@ -107,6 +117,7 @@
 // events sends a body of server-sent events, a whole event at a time.
 func (t *transfer) events(body io.Reader) error {
 	t.last = t.attempt.open.Resume
+	t.own = []byte(`{"id":"` + t.attempt.id.String() + `"`)
 	reader := NewEventReader(body)
 	for {
 		event, err := reader.Next()
@@ -148,10 +159,11 @@
 		t.done = true
 		return nil
 	}
-	if !t.attempt.owns(event.Data) {
+	if !t.owns(event.Data) {
 		return fmt.Errorf("%w: event of another attempt", foxtailstack.ErrEngineMismatch)
 	}
 	if event.ID == 0 {
+		t.unnumbered = t.unnumbered || len(event.Data) > 0
 		return nil
 	}
 	if event.ID != t.last+1 {
@@ -173,12 +185,15 @@
 // finished in any case.
 func (t *transfer) send(data []byte, end *End) error {
 	if t.lost == nil {
-		t.lost = t.attempt.send(Frame{
+		frame := Frame{
 			Head: t.head,
 			Data: data,
-			Last: t.last,
 			End:  end,
-		})
+		}
+		if !t.unnumbered {
+			frame.Last = t.last
+		}
+		t.lost = t.attempt.send(frame)
 		t.head = nil
 	}
 	if t.attempt.run == nil {
@@ -188,9 +203,8 @@
 }
 
 // owns reports whether the data of an event bears the attempt's id, or none.
-func (a *attempt) owns(data []byte) bool {
-	id := a.id.String()
-	if bytes.HasPrefix(data, []byte(`{"id":"`+id+`"`)) {
+func (t *transfer) owns(data []byte) bool {
+	if bytes.HasPrefix(data, t.own) {
 		return true
 	}
 	var chunk struct {
@@ -199,5 +213,5 @@
 	if json.Unmarshal(data, &chunk) != nil || chunk.ID == nil {
 		return true
 	}
-	return *chunk.ID == id
+	return *chunk.ID == t.attempt.id.String()
 }
