--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/booking"
 	"github.com/foxtailstack/foxtailstack/fleet"
+	"github.com/foxtailstack/foxtailstack/internal/clock"
 	"github.com/foxtailstack/foxtailstack/timeline"
 	"github.com/foxtailstack/foxtailstack/upstream"
 )
@@ -90,7 +91,7 @@
 			return nil
 		}
 		wait, again := p.next(ctx, last, known)
-		if !again || sleep(ctx, wait) != nil {
+		if !again || clock.Sleep(ctx, wait) != nil {
 			return last
 		}
 	}
@@ -230,21 +231,6 @@
 	}
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
-
 // textOf returns how an attempt ended, for the time line.
 func textOf(err error) string {
 	if err == nil {
--- a/expert/stage.go
+++ b/expert/stage.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/internal/clock"
 )
 
 // stageRetry is the time between two tries to stage a map.
@@ -27,7 +28,7 @@
 			if err == nil {
 				break
 			}
-			if errors.Is(err, ErrProposed) || pause(ctx) != nil {
+			if errors.Is(err, ErrProposed) || clock.Sleep(ctx, stageRetry) != nil {
 				return
 			}
 		}
@@ -67,15 +68,3 @@
 	}
 	return nil
 }
-
-// pause waits before the next try.
-func pause(ctx context.Context) error {
-	timer := time.NewTimer(stageRetry)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/fleet/commit.go
+++ b/fleet/commit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/internal/clock"
 	"github.com/foxtailstack/foxtailstack/wire"
 )
 
@@ -52,7 +53,7 @@
 		if !repeat {
 			return Change{}, refusal(err)
 		}
-		if !sleep(ctx, rand.N(pause)) {
+		if clock.Sleep(ctx, rand.N(pause)) != nil {
 			break
 		}
 		pause = min(2*pause, maxCommitPause)
@@ -194,15 +195,3 @@
 	)
 	return change, err
 }
-
-// sleep pauses for d and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/internal/clock"
 )
 
 const (
@@ -46,7 +47,7 @@
 		case <-timer.C:
 		case <-changed:
 			timer.Stop()
-			sleep(ctx, summaryInterval)
+			_ = clock.Sleep(ctx, summaryInterval) // the loop sees the end of ctx
 		}
 	}
 }
--- a/fleet/list.go
+++ b/fleet/list.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/foxtailstack/foxtailstack/internal/clock"
 )
 
 const (
@@ -28,7 +30,7 @@
 		if n > 0 {
 			interval = listInterval + n*listCost
 		}
-		if !sleep(ctx, nudgeInterval+n*nudgeCost) {
+		if clock.Sleep(ctx, nudgeInterval+n*nudgeCost) != nil {
 			return
 		}
 		timer := time.NewTimer(jitter(interval))
--- a/fleet/spread.go
+++ b/fleet/spread.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/internal/clock"
 	"github.com/qmuntal/stateless"
 	"go.uber.org/zap"
 )
@@ -168,7 +169,7 @@
 		return s.followAny(ctx)
 	case stateFallenBack:
 		s.lookAgain()
-		sleep(ctx, jitter(startPause))
+		_ = clock.Sleep(ctx, jitter(startPause)) // the loop sees the end of ctx
 		return triggerReview
 	}
 	if s.planned().poll {
@@ -203,7 +204,7 @@
 		if p.unknown {
 			interval = jitter(sparePollInterval)
 		}
-		if !sleep(ctx, interval) {
+		if clock.Sleep(ctx, interval) != nil {
 			return
 		}
 	}
@@ -228,7 +229,7 @@
 // no relay, within the budget of the process.
 func (s *Spreader) readSpare(ctx context.Context) {
 	var next time.Time
-	for sleep(ctx, jitter(pollInterval)) {
+	for clock.Sleep(ctx, jitter(pollInterval)) == nil {
 		silent := time.Since(time.Unix(0, s.heard.Load())) > spareDelay
 		if s.planned().poll || !s.Ready() || !silent || time.Now().Before(next) {
 			continue
--- a/fleet/start.go
+++ b/fleet/start.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/internal/clock"
 	"go.uber.org/zap"
 )
 
@@ -26,7 +27,7 @@
 			return
 		}
 		s.lookAgain()
-		sleep(ctx, jitter(startPause))
+		_ = clock.Sleep(ctx, jitter(startPause)) // the loop sees the end of ctx
 	}
 }
 
