Number the ports of scenarios instead of drawing them

An entry restarted in a script failed with "bind: address already in use": while it was dead another process had taken its port. Ports of one test process are now numbered from a random start, so that its scripts never draw the port of a process that is down.

--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -293,12 +294,21 @@
 	}
 }
 
+// nextPort numbers the ports, so that two scripts never get the same one before
+// either has bound it. It starts at random to keep clear of other test runs.
+var nextPort = func() *atomic.Uint32 {
+	n := &atomic.Uint32{}
+	n.Store(rand.Uint32N(1 << 16))
+	return n
+}()
+
 // freeAddress returns a loopback address whose port is free for TCP and UDP. It
 // lies below the ports that the kernel gives to connections, one of which could
 // take it before a process listens.
 func freeAddress() string {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
