--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -139,7 +139,7 @@
 // send sends a frame of the attempt.
 func (a *attempt) send(frame Frame) error {
 	frame.Attempt = a.id
-	if frame.Data == nil {
+	if frame.Data == nil || frame.End != nil {
 		now := a.server.Ring.Now()
 		frame.At = &now
 	}
--- a/upstream/frame.go
+++ b/upstream/frame.go
@@ -27,7 +27,7 @@
 	Failure  *Failure               `cbor:"9,keyasint,omitempty"`
 	// Last is the number of the last event in Data; zero if events have none.
 	Last uint64 `cbor:"10,keyasint,omitempty"`
-	// At orders the events of both ends; it is set on all frames but Data.
+	// At orders the events of both ends; it is set but for Data without End.
 	At *timeline.Timestamp `cbor:"11,keyasint,omitempty"`
 }
 
