--- a/node/node.go
+++ b/node/node.go
@@ -91,7 +91,7 @@
 		return err
 	}
 	b.peers = addr
-	b.status, err = listenStatus(b.settings.Listen.Status)
+	b.status, err = listenStatus(b.settings.Listen.Status, config.Listen)
 	return err
 }
 
--- a/node/status.go
+++ b/node/status.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
+	"net/netip"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/foxtailstack/foxtailstack"
@@ -30,12 +32,15 @@
 	return mux
 }
 
-// listenStatus binds the address for health checks and metrics, if one is set.
-func listenStatus(address foxtailstack.Address) (net.Listener, error) {
+// listenStatus binds the address for health checks and metrics, if one is set. It
+// serves without TLS on loopback only.
+func listenStatus(address foxtailstack.Address, cfg *tls.Config) (net.Listener, error) {
 	if address == "" {
 		return nil, nil
 	}
-	return listenHTTP(address, nil, true)
+	parsed, err := netip.ParseAddrPort(string(address))
+	plain := err == nil && parsed.Addr().IsLoopback()
+	return listenHTTP(address, cfg, plain)
 }
 
 // serveStatus serves the health checks and metrics until ctx ends.
