Release a group sooner when its planner's machine stands still

Cause: on frozen-rank (the machine of the planner stands still while the group is held) the group stood still for 1.4 s: 0.45 s until the takeover, then 0.2 s lost since the successor asked the ranks that it knew from an earlier time instead of the whole list, and twice 0.3 s for the rank that cannot answer, with a pause between. Ruled out: the hold of the frozen rank itself (another rank holds), the store (8 ms). Now the list counts only once it was read in this time of planning, the last rank is waited for 80 ms longer than the others while the group may be held, and a survey follows at once after the fencing number is planted or a map learnt. Test: TestSuccessorReleasesSoon, which failed before; a rank that is cut off does not answer at once in the test's world any more.

--- a/group/candidate.go
+++ b/group/candidate.go
@@ -38,8 +38,8 @@
 	// Members returns the ranks that may belong to the group, as this sidecar
 	// reaches them as the planner.
 	Members func(planner Planning) []Member
-	// Follow keeps what Members and Shape tell current until its context ends. It
-	// runs while this sidecar plans.
+	// Follow begins to keep what Members and Shape tell current, until its context
+	// ends. Members returns nothing until it has read the list.
 	Follow func(ctx context.Context)
 	// Shape describes the engines; nil if it is not known yet.
 	Shape func() *route.Group
@@ -113,7 +113,7 @@
 	c.Log.Info("planner began", zap.String("group", string(report.Group)), zap.Uint64("fence", uint64(fence)))
 	following, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go c.Follow(following)
+	c.Follow(following)
 	kept := newArchive(c.Election, report.Group, c.Log)
 	planner := &Planner{
 		Name:  report.Group,
--- a/group/planner.go
+++ b/group/planner.go
@@ -55,6 +55,10 @@
 	// planted is the formation in which so many ranks know the fencing number.
 	planted      Formation
 	plantedRanks int
+	// settled tells that no switch was open at the last survey after that.
+	settled bool
+	// urgent tells that the next survey is due at once.
+	urgent bool
 	// pass is the time of a pass at the last survey; zero if the group was idle.
 	pass   time.Duration
 	passes passClock
@@ -78,7 +82,7 @@
 			}
 			continue
 		}
-		survey := look(ctx, p.Name, members)
+		survey := look(ctx, p.Name, members, p.grace())
 		surveysTotal.Inc()
 		if !survey.Complete() {
 			incompleteTotal.Inc()
@@ -92,6 +96,7 @@
 			Ranks: survey.ranks(),
 			Pass:  p.pass,
 		})
+		p.urgent = false
 		err := p.act(ctx, &survey)
 		if err != nil {
 			failedTotal.Inc()
@@ -100,6 +105,9 @@
 		if isLost(err) {
 			return ErrLost
 		}
+		if p.urgent && err == nil {
+			continue
+		}
 		err = clock.Sleep(ctx, surveyPause-time.Since(began))
 		if err != nil {
 			return err
@@ -107,6 +115,16 @@
 	}
 }
 
+// grace returns how long a survey waits for the last rank beyond the others. A
+// group that is held stands still, and the rank that does not answer is likely
+// that of the planner that held it.
+func (p *Planner) grace() time.Duration {
+	if p.settled {
+		return 0
+	}
+	return lastGrace
+}
+
 // act does what a survey calls for.
 func (p *Planner) act(ctx context.Context, survey *Survey) error {
 	shape := p.Shape()
@@ -127,6 +145,7 @@
 	if len(survey.Reports) == 0 || !survey.together() {
 		return nil
 	}
+	p.settled = p.planted == s.formation && !survey.unsettled()
 	if p.planted != s.formation || p.plantedRanks != len(survey.Reports) {
 		return p.plant(ctx, survey, s)
 	}
@@ -160,6 +179,7 @@
 	}
 	p.planted = s.formation
 	p.plantedRanks = len(survey.Reports)
+	p.urgent = true
 	return nil
 }
 
@@ -205,6 +225,7 @@
 	}
 	p.layers = layers
 	p.version = version
+	p.urgent = true
 	p.Log.Info("map learnt from the ranks", zap.Uint64("map", uint64(version)))
 	return nil
 }
--- a/group/survey.go
+++ b/group/survey.go
@@ -11,6 +11,9 @@
 const (
 	// surveyTimeout bounds the report of one rank.
 	surveyTimeout = 300 * time.Millisecond
+	// lastGrace is how much longer the last rank may take while the group may be
+	// held for a planner that is gone.
+	lastGrace = 80 * time.Millisecond
 	// maxSamples is the number of ranks that a sample is taken of. They are the
 	// same in each survey.
 	maxSamples = 24
@@ -40,8 +43,9 @@
 	Look(ctx context.Context, withSample bool) (Report, Sample, error)
 }
 
-// look asks all members for their state and keeps what belongs to one group.
-func look(ctx context.Context, name Name, members []Member) Survey {
+// look asks all members for their state and keeps what belongs to one group. If
+// grace is not zero, the last member is not waited for longer than that.
+func look(ctx context.Context, name Name, members []Member, grace time.Duration) Survey {
 	survey := Survey{
 		Reports: make(map[foxtailstack.Rank]Report, len(members)),
 		Samples: make(map[foxtailstack.Rank]Sample, len(members)),
@@ -51,6 +55,7 @@
 	defer cancel()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
+	asked := len(members)
 	every := (len(members) + maxSamples - 1) / maxSamples
 	for i, member := range members {
 		wg.Go(func() {
@@ -58,6 +63,10 @@
 			mu.Lock()
 			defer mu.Unlock()
 			survey.take(name, member, report, sample, err)
+			asked--
+			if asked == 1 && grace > 0 {
+				time.AfterFunc(grace, cancel)
+			}
 		})
 	}
 	wg.Wait()
--- a/group/switch_test.go
+++ b/group/switch_test.go
@@ -217,6 +217,45 @@
 	}
 }
 
+// Pattern: the machine of the planner stands still while the group is held. The
+// group stands still with it until the successor has released it, so each question
+// that the successor waits for in vain is paid by all requests.
+func TestSuccessorReleasesSoon(t *testing.T) {
+	const soon = 400 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(8)
+		ctx, cancel := context.WithCancel(t.Context())
+		go w.run(ctx)
+		planner := w.start(ctx, 7, 1)
+		struck := false
+		w.fate = func(_ foxtailstack.Rank, order Order) fate {
+			if order.Action == Arm && !struck {
+				struck = true
+				w.ranks[7].cut = true
+				planner.freeze(4 * time.Second)
+			}
+			return delivered
+		}
+		for !w.struck(&struck) {
+			time.Sleep(passTime)
+		}
+		time.Sleep(500 * time.Millisecond) // the group is at the pass before which it is held
+		w.mu.Lock()
+		before := w.step
+		w.mu.Unlock()
+		w.start(ctx, 0, 2)
+		time.Sleep(soon)
+		w.mu.Lock()
+		if w.step == before {
+			t.Errorf("the group is still held %s after the successor began", soon)
+		}
+		w.mu.Unlock()
+		w.check(t)
+		cancel()
+		time.Sleep(time.Minute) // lets all goroutines end
+	})
+}
+
 // struck reports whether a fault that is set under mu has come.
 func (w *world) struck(flag *bool) bool {
 	w.mu.Lock()
--- a/group/world_test.go
+++ b/group/world_test.go
@@ -293,15 +293,20 @@
 	}
 }
 
-// reach waits for the way to the rank. It reports whether there is one.
+// reach waits for the way to the rank. It reports whether there is one: a machine
+// that stands still does not answer until the caller gives up.
 func (l *link) reach(ctx context.Context) bool {
 	l.planner.wait()
 	if ctx.Err() != nil {
 		return false
 	}
 	l.rank.world.mu.Lock()
-	defer l.rank.world.mu.Unlock()
-	return l.own || !l.rank.cut
+	cut := !l.own && l.rank.cut
+	l.rank.world.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+	}
+	return !cut
 }
 
 func (l *link) Address() foxtailstack.Address {
--- a/machine/sidecar.go
+++ b/machine/sidecar.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/alexedwards/flow"
@@ -39,6 +40,8 @@
 	group    *group.Sidecar
 	peers    net.Listener
 	metrics  net.Listener
+	// listed tells that the list of upstreams was read since this sidecar plans.
+	listed atomic.Bool
 }
 
 // NewSidecar binds the addresses of a sidecar.
@@ -107,8 +110,10 @@
 	}
 }
 
-// follow follows the configuration and the fleet until ctx ends.
+// follow begins to follow the configuration and the fleet, until ctx ends. What
+// was known of the fleet from an earlier time does not count any more.
 func (s *Sidecar) follow(ctx context.Context) {
+	s.listed.Store(false)
 	config := &watch.Follower{
 		Feed:    s.store,
 		Table:   platform.TableConfig,
@@ -122,13 +127,21 @@
 		Feed:    s.store,
 		Table:   platform.TableUpstreams,
 		Wait:    sidecarWait,
-		Replace: s.view.ReplaceFleet,
+		Replace: s.replaceFleet(ctx),
 		Update:  s.view.UpdateFleet,
 		Now:     clock.Boot,
 		Log:     s.log,
 	}
 	go config.Run(ctx)
-	upstreams.Run(ctx)
+	go upstreams.Run(ctx)
+}
+
+// replaceFleet returns what takes the whole list of upstreams while ctx lasts.
+func (s *Sidecar) replaceFleet(ctx context.Context) func([]foxtailstack.Record, foxtailstack.StoreVersion) {
+	return func(records []foxtailstack.Record, version foxtailstack.StoreVersion) {
+		s.view.ReplaceFleet(records, version)
+		s.listed.Store(ctx.Err() == nil)
+	}
 }
 
 // shape returns what the configuration says of the engines of the group.
@@ -146,8 +159,12 @@
 	return &known
 }
 
-// members returns the ranks of the service as this sidecar reaches them.
+// members returns the ranks of the service as this sidecar reaches them, or none
+// until the list of upstreams was read.
 func (s *Sidecar) members(planner group.Planning) []group.Member {
+	if !s.listed.Load() {
+		return nil
+	}
 	var members []group.Member
 	for _, u := range s.view.Fleet().All(s.settings.Service) {
 		if u.Address == s.settings.Upstream {
