Choose the cheaper of two ranks drawn by chance

Besides, what others had there lost weight with age, and an entry's own requests of now were taken off loads of half a second ago. The new field gap of the request line and the difference of first and waited showed it. Now what is told of others counts in full for 0.9 s, less what this entry had there at that time, and the cheaper of two ranks drawn by chance is taken.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -231,7 +231,7 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	p := b.peer(t.Upstream.Name)
-	p.running--
+	p.run(-1, now)
 	q := b.queue(t.service)
 	switch report.Outcome {
 	case Abandoned:
@@ -317,10 +317,16 @@
 	})
 }
 
+// maxDraws is the number of ranks of which the cheapest is taken.
+const maxDraws = 2
+
 // pick returns a ticket for the cheapest upstream that the request may go to,
 // or nil if there is none. Those that are avoided come last. Ranks whose slots
 // are all taken get nothing, since what waits there makes all late that comes
-// after it, and those that do not answer the planner get nothing either. The
+// after it, and those that do not answer the planner get nothing either.
+//
+// Of the ranks of a group only a few are drawn by chance: all entries are told the
+// same loads at the same time, and would all send to the ranks with the least. The
 // caller holds mu.
 func (b *Board) pick(ask *Ask, now time.Time) *Ticket {
 	var best *route.Upstream
@@ -328,12 +334,9 @@
 	bestAvoided := true
 	bestCost := 0.0
 	ready := b.Fleet().Ready(ask.Service)
-	start := 0
-	if len(ready) > 0 {
-		start = rand.IntN(len(ready))
-	}
-	for i := range ready {
-		u := &ready[(start+i)%len(ready)]
+	draws := 0
+	for _, i := range rand.Perm(len(ready)) {
+		u := &ready[i]
 		if !ask.allows(u.Name) {
 			continue
 		}
@@ -343,6 +346,12 @@
 			continue
 		}
 		avoided := p.avoided(now)
+		if ask.Grouped && !avoided {
+			draws++
+		}
+		if draws > maxDraws {
+			break
+		}
 		cost := p.cost(now, ask.Grouped)
 		if best == nil || bestAvoided && !avoided || bestAvoided == avoided && cost < bestCost {
 			best, bestPeer, bestAvoided, bestCost = u, p, avoided, cost
@@ -351,7 +360,7 @@
 	if best == nil {
 		return nil
 	}
-	bestPeer.running++
+	bestPeer.run(1, now)
 	return &Ticket{
 		Upstream: *best,
 		board:    b,
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// loadLife is how long what an upstream said of its load counts.
-	loadLife = 1500 * time.Millisecond
+	// loadLife is how long what an upstream said of its load counts, and freshLife
+	// how long it counts in full.
+	loadLife  = 1500 * time.Millisecond
+	freshLife = 900 * time.Millisecond
 	// shunTime is how long an upstream is avoided after it could not be
 	// reached, doubled with each time in a row up to maxShun.
 	shunTime = 400 * time.Millisecond
@@ -34,8 +36,9 @@
 // peer is what a Board knows of one upstream.
 type peer struct {
 	slots int
-	// running is the number of this process's requests there.
+	// running is the number of this process's requests there, and past what it was.
 	running int
+	past    past
 	// others is the number of requests of other processes at told.
 	others int
 	told   time.Time
@@ -58,12 +61,21 @@
 func (p *peer) load(now time.Time) float64 {
 	load := float64(p.running)
 	age := now.Sub(p.told)
-	if age < loadLife {
-		load += float64(p.others) * (1 - float64(age)/float64(loadLife))
+	switch {
+	case age < freshLife:
+		load += float64(p.others)
+	case age < loadLife:
+		load += float64(p.others) * float64(loadLife-age) / float64(loadLife-freshLife)
 	}
 	return load
 }
 
+// run changes the number of this process's requests there.
+func (p *peer) run(change int, now time.Time) {
+	p.past.add(now, p.running)
+	p.running += change
+}
+
 // cost returns what a further request would have to wait, relative to others.
 // Times are compared only where upstreams work alone: the ranks of a group all
 // take as long as the slowest.
@@ -86,16 +98,14 @@
 	return now.Before(p.shunned) || now.Before(p.full)
 }
 
-// tell records what the upstream said of its load.
-func (p *peer) tell(load *exchange.Load, now time.Time) {
-	if load == nil {
-		return
-	}
-	if now.Before(p.told) {
+// tell records what the upstream said of its load at a time. This process's
+// requests of that time are among those, not the present ones.
+func (p *peer) tell(load *exchange.Load, at time.Time) {
+	if load == nil || at.Before(p.told) {
 		return
 	}
-	p.others = max(0, load.Running+load.Waiting-p.running)
-	p.told = now
+	p.others = max(0, load.Running+load.Waiting-p.past.at(at, p.running))
+	p.told = at
 }
 
 // strike records that the upstream could not be reached.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -360,6 +360,7 @@
 		zap.Int64("events", c.stream.lastEvent),
 		zap.Duration("waited", c.waited),
 		zap.Duration("first", c.first),
+		zap.Duration("gap", c.stream.gap),
 		zap.Duration("took", time.Since(c.arrived)),
 		zap.Uint64("config", config),
 		zap.Duration("age", c.gateway.View.Age(c.gateway.Now())))
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -53,6 +53,9 @@
 	begun bool
 	// lastEvent is the number of the last event that was sent.
 	lastEvent int64
+	// wrote is when something was last sent, gap the longest pause between events.
+	wrote time.Time
+	gap   time.Duration
 }
 
 // relay brings the answer of an upstream that runs the request to the caller.
@@ -161,10 +164,19 @@
 	if err == nil {
 		err = http.NewResponseController(c.w).Flush()
 	}
-	c.stream.lastEvent = max(e.id, c.stream.lastEvent)
+	c.stream.count(e.id, time.Now())
 	return err == nil
 }
 
+// count records that an event was sent.
+func (s *stream) count(id int64, now time.Time) {
+	s.lastEvent = max(id, s.lastEvent)
+	if !s.wrote.IsZero() {
+		s.gap = max(s.gap, now.Sub(s.wrote))
+	}
+	s.wrote = now
+}
+
 // event is one event of a stream as it was received.
 type event struct {
 	id   int64
