--- a/command/machine.go
+++ b/command/machine.go
@@ -37,8 +37,10 @@
 		Long: "Run a process on a machine of the platform. The settings file is the one that the\n" +
 			"environment variable " + platform.EnvSettings + " names. SIGHUP reads it again.",
 	}
+	var level string
+	cmd.PersistentFlags().StringVar(&level, "log-level", "info", "least level of the lines of the log")
 	cmd.AddCommand(
-		newMachineRole("entry", "Take requests of callers", foxtailstack.RoleEntry,
+		newMachineRole("entry", "Take requests of callers", foxtailstack.RoleEntry, &level,
 			func(ctx context.Context, cfg platform.Settings, log *zap.Logger) error {
 				entry, err := machine.NewEntry(cfg, log)
 				if err != nil {
@@ -46,7 +48,7 @@
 				}
 				return entry.Run(ctx)
 			}),
-		newMachineRole("sidecar", "Keep the expert maps of the group beside an upstream", foxtailstack.RoleSidecar,
+		newMachineRole("sidecar", "Keep the expert maps of the group beside an upstream", foxtailstack.RoleSidecar, &level,
 			func(ctx context.Context, cfg platform.Settings, log *zap.Logger) error {
 				sidecar, err := machine.NewSidecar(cfg, log)
 				if err != nil {
@@ -62,6 +64,7 @@
 func newMachineRole(
 	use, short string,
 	role foxtailstack.Role,
+	level *string,
 	run func(ctx context.Context, cfg platform.Settings, log *zap.Logger) error,
 ) *cobra.Command {
 	return &cobra.Command{
@@ -75,7 +78,7 @@
 			if err != nil {
 				return usage(err)
 			}
-			return runLogged(cmd.Context(), cmd.OutOrStdout(), cfg, func(ctx context.Context, log *zap.Logger) error {
+			return runLogged(cmd.Context(), cmd.OutOrStdout(), *level, cfg, func(ctx context.Context, log *zap.Logger) error {
 				go reload(ctx, path, role, log)
 				return run(ctx, cfg, log)
 			})
@@ -87,14 +90,15 @@
 func runLogged(
 	ctx context.Context,
 	w io.Writer,
+	level string,
 	cfg platform.Settings,
 	run func(ctx context.Context, log *zap.Logger) error,
 ) error {
 	lines := logbook.NewWriter(w)
 	defer lines.Close(flushTimeout)
-	log, err := node.NewLog(lines, "")
+	log, err := node.NewLog(lines, level)
 	if err != nil {
-		return err
+		return usage(err)
 	}
 	metrics.GetOrCreateGauge("foxtailstack_log_dropped_lines", func() float64 { return float64(lines.Dropped()) })
 	log = log.With(zap.String("instance", string(cfg.Name)))
