Time passes by the events of streams, and say why a request is one too many

Ruled out: a queue (none waited), a broken group (no refusal before). Each entry now takes the median of its last five passes from the pauses of its streams; statuses of planners no longer tell a pass. The log says what decided a refusal, the longest pause includes the one that a caller left in, and explain tells callers that left a queue or a stream that stopped from others.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -23,6 +24,26 @@
 	ErrGaveUp = errors.New("no upstream was free in time")
 )
 
+// CrowdedError is an ErrCrowded with what decided it.
+type CrowdedError struct {
+	// Queued is the number of requests that wait, Wait how long a further one
+	// would, as far as known.
+	Queued int
+	Wait   time.Duration
+	// Pass is the time of a pass of the group; zero if it is not known.
+	Pass time.Duration
+}
+
+// Error returns the text of the error.
+func (e *CrowdedError) Error() string {
+	return fmt.Sprintf("%v: %d wait for %s, a pass takes %s", ErrCrowded, e.Queued, e.Wait, e.Pass)
+}
+
+// Unwrap returns ErrCrowded.
+func (e *CrowdedError) Unwrap() error {
+	return ErrCrowded
+}
+
 // Ask is a request that wants an upstream.
 type Ask struct {
 	Service foxtailstack.ServiceName
@@ -136,7 +157,7 @@
 	q := b.queue(w.ask.Service)
 	wait, known := q.wait(w.since)
 	if known && len(q.waiting) > 0 && w.hopeless(w.since.Add(wait)) {
-		return ErrCrowded
+		return q.crowded(w.since)
 	}
 	q.add(w)
 	b.serve(q)
@@ -157,18 +178,15 @@
 	Pace float64
 }
 
-// TellGroup records the load of the ranks behind a service, by address, and the
-// time of a pass, as they were some time ago.
+// TellGroup records the load of the ranks behind a service, by address, as it was
+// some time ago.
 func (b *Board) TellGroup(
 	service foxtailstack.ServiceName,
 	ranks map[foxtailstack.Address]RankLoad,
-	pass, age time.Duration,
+	age time.Duration,
 ) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if pass > 0 {
-		b.queue(service).pass = pass
-	}
 	now := time.Now()
 	at := now.Add(-age)
 	ready := b.Fleet().Ready(service)
@@ -200,12 +218,19 @@
 	return n
 }
 
+// Paused records the pause between the last two events of a stream of a group.
+func (b *Board) Paused(service foxtailstack.ServiceName, pause time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.queue(service).pulse.add(time.Now(), pause)
+}
+
 // Pass returns the time of a pass of the group behind a service, or zero if that
 // is not known.
 func (b *Board) Pass(service foxtailstack.ServiceName) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.queue(service).pass
+	return b.queue(service).pulse.pass(time.Now())
 }
 
 // Changed tells that the fleet has changed.
@@ -275,7 +300,7 @@
 	for _, w := range q.order(now) {
 		if w.hopeless(now) {
 			q.remove(w)
-			w.granted <- grant{err: ErrCrowded}
+			w.granted <- grant{err: q.crowded(now)}
 			continue
 		}
 		probe, wait := q.gate(now)
--- a/dispatch/board_test.go
+++ b/dispatch/board_test.go
@@ -67,7 +67,7 @@
 			"10.0.0.0:1": {Pace: 4.7},
 			"10.0.0.1:1": {Pace: 1},
 			"10.0.0.2:1": {Pace: 1},
-		}, 50*time.Millisecond, 0)
+		}, 0)
 		for range 12 {
 			ticket := take(t, b, dispatch.Ask{Grouped: true})
 			if ticket.Upstream.Name == "u0" {
@@ -87,7 +87,7 @@
 			"10.0.0.2:1": {Pace: 1},
 			"10.0.0.3:1": {Pace: 1},
 		}
-		b.TellGroup(service, alive, 50*time.Millisecond, 0)
+		b.TellGroup(service, alive, 0)
 		for range 33 {
 			if take(t, b, dispatch.Ask{Grouped: true}).Upstream.Name == "u0" {
 				t.Fatal("a request went to the rank that does not answer")
@@ -108,7 +108,7 @@
 func TestBoardDoubtsCutPlanner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBoard(4, 12)
-		b.TellGroup(service, map[foxtailstack.Address]dispatch.RankLoad{"10.0.0.1:1": {Pace: 1}}, 50*time.Millisecond, 0)
+		b.TellGroup(service, map[foxtailstack.Address]dispatch.RankLoad{"10.0.0.1:1": {Pace: 1}}, 0)
 		got := map[foxtailstack.UpstreamName]bool{}
 		for range 37 { // more than three ranks have slots for
 			got[take(t, b, dispatch.Ask{Grouped: true}).Upstream.Name] = true
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -53,8 +53,7 @@
 	// probed is when the last request was sent to a broken group, if its outcome
 	// is still open.
 	probed time.Time
-	// pass is the time of a pass of the group; zero if it is not known.
-	pass time.Duration
+	pulse  pulse
 	// timer serves the queue when it is due; nil if none is set.
 	timer *time.Timer
 	due   time.Time
@@ -163,6 +162,16 @@
 	q.granted++
 }
 
+// crowded returns why a request is refused.
+func (q *queue) crowded(now time.Time) error {
+	wait, _ := q.wait(now)
+	return &CrowdedError{
+		Queued: len(q.waiting),
+		Wait:   wait,
+		Pass:   q.pulse.pass(now),
+	}
+}
+
 // wait returns how long a request that arrives now would wait, or false if that
 // is not known.
 func (q *queue) wait(now time.Time) (time.Duration, bool) {
--- a/explain/story.go
+++ b/explain/story.go
@@ -43,10 +43,11 @@
 	"planner began",
 	"planner ended",
 	"switch not done",
-	"switch left open is ended",
-	"switch left open is undone",
 }
 
+// groupPrefix begins the messages about switches that a planner left behind.
+const groupPrefix = "switch left open"
+
 // Tell returns the story of a request. Lines of one process have to be in the
 // order in which it wrote them.
 func Tell(id string, lines []Line) Story {
@@ -72,7 +73,7 @@
 			if ok {
 				latest[key] = line
 			}
-		case slices.Contains(groupMessages, line.Message):
+		case slices.Contains(groupMessages, line.Message) || strings.HasPrefix(line.Message, groupPrefix):
 			if line.At.After(first.At.Add(-before)) && !line.At.After(last.At) {
 				story.Group = append(story.Group, line)
 			}
@@ -102,24 +103,6 @@
 	sort.SliceStable(lines, func(i, j int) bool { return lines[i].At.Before(lines[j].At) })
 }
 
-// verdicts say what the reason of a request's last line means.
-var verdicts = map[string]string{
-	"served":            "The caller has the whole answer.",
-	"upstream-answered": "The upstream itself answered with a failure; it was passed on unchanged.",
-	"upstreams-refused": "Not run: the upstreams that were asked refused. The caller was told when to come back.",
-	"too-many-waiting":  "Not run: it could not have been served in its time. The caller was told when to come back.",
-	"no-upstream":       "Not run: the service had no ready upstream.",
-	"keys-not-current":  "Not run: the store had not been heard for so long that its key might have been taken away.",
-	"no-configuration":  "Not run: the entry had no configuration yet.",
-	"unknown-key":       "Denied: no team has the key in the configuration of that version.",
-	"no-route":          "Denied: the configuration of that version has no route for it.",
-	"body":              "Denied: the body is too long or was cut.",
-	"timeout":           "Its time ended; with sends=0 it did not run, otherwise it may have run.",
-	"upstreams-failed":  "It may have run: an upstream broke off, and it may not be sent again.",
-	"stream-broken":     "The stream broke after its first event and could not go on elsewhere.",
-	"caller-left":       "The caller closed its connection before the end.",
-}
-
 // Write writes the story as text.
 func (s Story) Write(w io.Writer) error {
 	if len(s.Own) == 0 {
@@ -131,12 +114,7 @@
 	write(&b, "What "+instance+" believed", s.Beliefs, instance)
 	write(&b, "What groups did meanwhile (~ placed by clock only)", s.Group, instance)
 	write(&b, "The request", s.Own, instance)
-	last := s.Own[len(s.Own)-1]
-	verdict, ok := verdicts[last.Get("reason")]
-	if !ok {
-		verdict = "The log has no end of the request: the process ended, or lines were dropped."
-	}
-	fmt.Fprintf(&b, "\n%s\n", verdict)
+	fmt.Fprintf(&b, "\n%s\n", verdict(s.Own))
 	_, err := io.WriteString(w, b.String())
 	return err
 }
--- /dev/null
+++ b/explain/verdict_test.go
@@ -0,0 +1,45 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestVerdict(t *testing.T) {
+	for name, test := range map[string]struct {
+		log  string
+		want string
+	}{
+		"left in the queue": {
+			log:  "msg=request request=r reason=caller-left waited=1.6 first=0 gap=0 took=2.0",
+			want: "The caller left when nothing had come for 2s: it waited 1.6s for an upstream and 400ms at the last one.",
+		},
+		"left a stream that stopped": {
+			log:  "msg=request request=r reason=caller-left waited=0 first=0.2 gap=2.01 took=4.0",
+			want: "The caller left when no event had come for 2.01s.",
+		},
+		"left early": {
+			log:  "msg=request request=r reason=caller-left waited=0 first=0 gap=0 took=0.074",
+			want: "The caller left after 74ms, before anything was late enough to leave for.",
+		},
+		"group without a rank": {
+			log: "msg=\"attempt refused\" request=r culprit=10.0.0.1:1\n" +
+				"ts=2026-03-02T13:22:52.892Z msg=request request=r reason=upstreams-refused",
+			want: "The group did not work, since its rank at 10.0.0.1:1 did not.\n" + verdicts["upstreams-refused"],
+		},
+		"no end": {
+			log:  "msg=\"attempt failed\" request=r",
+			want: "The log has no end of the request: the process ended, or lines were dropped.",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			lines, err := Read(strings.NewReader("ts=2026-03-02T13:22:52.891Z " + test.log + "\n"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := verdict(lines); got != test.want {
+				t.Errorf("got %q, want %q", got, test.want)
+			}
+		})
+	}
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -64,6 +64,8 @@
 	last *whole
 	// stream is the state of a stream whose answer has begun.
 	stream stream
+	// needs is the least time in which the request can be served.
+	needs time.Duration
 	// waited is the time spent waiting for upstreams.
 	waited time.Duration
 	// first is the time until the first bytes of the answer.
@@ -169,6 +171,7 @@
 	}
 	events := int64(tokens) / int64(max(shape.Stride, 1))
 	ask.Needs = ask.First + time.Duration(hintTrust*float64(events))*max(pass, leastPass)
+	c.needs = ask.Needs
 }
 
 // mayRetry reports whether the request may be sent once more.
@@ -297,6 +300,8 @@
 func (c *call) giveUp(ctx context.Context, err error) {
 	switch {
 	case c.r.Context().Err() != nil:
+		idle, _ := c.stream.idle(time.Now())
+		c.stream.gap = max(c.stream.gap, idle) // the caller may have left because of it
 		c.finish(0, reasonLeft)
 	case c.stream.begun:
 		c.finish(0, reasonBroken)
@@ -309,6 +314,7 @@
 	case len(c.ran) > 0:
 		c.deny(http.StatusBadGateway, reasonFailed)
 	case errors.Is(err, dispatch.ErrCrowded):
+		c.logCrowded(err)
 		c.refuse(reasonCrowded, c.crowdedReturn())
 	case errors.Is(err, dispatch.ErrNoUpstream):
 		c.refuse(reasonNoServer, farReturn)
@@ -327,6 +333,21 @@
 	return min(after, max(time.Until(c.ends)/leastParts, nearReturn))
 }
 
+// logCrowded logs what decided that the request cannot be served in time.
+func (c *call) logCrowded(err error) {
+	var crowded *dispatch.CrowdedError
+	if !errors.As(err, &crowded) {
+		return
+	}
+	c.gateway.Log.Info("request cannot be served in time",
+		zap.String("request", string(c.request.ID)),
+		zap.Int("queued", crowded.Queued),
+		zap.Duration("wait", crowded.Wait),
+		zap.Duration("pass", crowded.Pass),
+		zap.Duration("needs", c.needs),
+		zap.Duration("left", time.Until(c.ends)))
+}
+
 // logAttempt logs how an attempt failed.
 func (c *call) logAttempt(message string, err error) {
 	c.gateway.Log.Info(message,
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -164,17 +164,29 @@
 	if err == nil {
 		err = http.NewResponseController(c.w).Flush()
 	}
-	c.stream.count(e.id, time.Now())
+	pause, ok := c.stream.count(e.id, time.Now())
+	if ok && c.cfg.Services[c.service].Group != nil {
+		c.gateway.Board.Paused(c.service, pause)
+	}
 	return err == nil
 }
 
-// count records that an event was sent.
-func (s *stream) count(id int64, now time.Time) {
+// count records that an event was sent, and returns the pause before it unless it
+// is the first.
+func (s *stream) count(id int64, now time.Time) (time.Duration, bool) {
 	s.lastEvent = max(id, s.lastEvent)
-	if !s.wrote.IsZero() {
-		s.gap = max(s.gap, now.Sub(s.wrote))
-	}
+	pause, ok := s.idle(now)
+	s.gap = max(s.gap, pause)
 	s.wrote = now
+	return pause, ok
+}
+
+// idle returns the time since the last event, if there was one.
+func (s *stream) idle(now time.Time) (time.Duration, bool) {
+	if s.wrote.IsZero() {
+		return 0, false
+	}
+	return now.Sub(s.wrote), true
 }
 
 // event is one event of a stream as it was received.
--- a/group/planner.go
+++ b/group/planner.go
@@ -94,7 +94,6 @@
 		p.Publish(&Status{
 			Group: p.Name,
 			Ranks: survey.ranks(),
-			Pass:  p.pass,
 		})
 		p.urgent = false
 		err := p.act(ctx, &survey)
--- a/group/status.go
+++ b/group/status.go
@@ -28,8 +28,6 @@
 type Status struct {
 	Group Name         `cbor:"1,keyasint"`
 	Ranks []RankStatus `cbor:"2,keyasint"`
-	// Pass is the recent mean time of a pass; zero if the group was idle.
-	Pass time.Duration `cbor:"3,keyasint,omitempty"`
 	// Age is the time since the ranks said so.
 	Age time.Duration `cbor:"4,keyasint"`
 }
--- a/machine/entry.go
+++ b/machine/entry.go
@@ -236,7 +236,7 @@
 			Pace: rank.Pace,
 		}
 	}
-	e.board.TellGroup(service, ranks, status.Pass, status.Age)
+	e.board.TellGroup(service, ranks, status.Age)
 }
 
 // configWait returns how long a call for changes of the configuration may wait, so
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -56,6 +56,7 @@
 	"overload": Overload,
 	"route":    Route,
 	"expert":   Expert,
+	"maps":     Maps,
 }
 
 // Names returns the names of all experiments in order.
