Have planners survey their own group only

A planner now asks its own group and those that it does not know; all of them at its start and when a rank is missing, at most each 2 s.

--- a/group/planner.go
+++ b/group/planner.go
@@ -45,6 +45,9 @@
 	Publish func(status *Status)
 	Log     *zap.Logger
 
+	roster roster
+	// missing tells that the last survey lacked a rank.
+	missing   bool
 	demand    Demand
 	formation Formation
 	layers    []foxtailstack.ExpertLayer
@@ -82,7 +85,10 @@
 			}
 			continue
 		}
-		survey := look(ctx, p.Name, members, p.grace())
+		asked := p.roster.pick(p.Name, members, p.missing, began)
+		survey := look(ctx, p.Name, asked, p.grace())
+		p.roster.learn(members, survey.Groups)
+		p.missing = !survey.Complete()
 		surveysTotal.Inc()
 		if !survey.Complete() {
 			incompleteTotal.Inc()
--- a/group/survey.go
+++ b/group/survey.go
@@ -26,6 +26,8 @@
 	Samples   map[foxtailstack.Rank]Sample
 	Witnesses map[foxtailstack.Rank]Witness
 	Members   map[foxtailstack.Rank]Member
+	// Groups are those that all who answered said they belong to.
+	Groups map[foxtailstack.Address]Name
 	// Fenced tells that a member has seen a newer planner.
 	Fenced bool
 }
@@ -52,6 +54,7 @@
 		Samples:   make(map[foxtailstack.Rank]Sample, len(members)),
 		Witnesses: make(map[foxtailstack.Rank]Witness, len(members)),
 		Members:   make(map[foxtailstack.Rank]Member, len(members)),
+		Groups:    make(map[foxtailstack.Address]Name, len(members)),
 	}
 	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
 	defer cancel()
@@ -80,10 +83,14 @@
 	if isFenced(err) {
 		s.Fenced = true
 	}
-	rank := answer.Report.Rank
-	if err != nil || answer.Report.Group != name {
+	if err != nil {
+		return
+	}
+	s.Groups[member.Address()] = answer.Report.Group
+	if answer.Report.Group != name {
 		return
 	}
+	rank := answer.Report.Rank
 	s.Reports[rank] = answer.Report
 	s.Members[rank] = member
 	s.Witnesses[rank] = answer.Witness
