--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -104,6 +104,7 @@
 	Upstream route.Upstream
 	board    *Board
 	service  foxtailstack.ServiceName
+	gate     *gate
 	probe    bool
 }
 
@@ -178,10 +179,11 @@
 	Pace float64
 }
 
-// TellGroup records the load of the ranks behind a service, by address, as it was
-// some time ago.
+// TellGroup records the load of the ranks of a group behind a service, by address,
+// as it was some time ago.
 func (b *Board) TellGroup(
 	service foxtailstack.ServiceName,
+	group GroupName,
 	ranks map[foxtailstack.Address]RankLoad,
 	age time.Duration,
 ) {
@@ -190,32 +192,46 @@
 	now := time.Now()
 	at := now.Add(-age)
 	ready := b.Fleet().Ready(service)
-	silent := silentRanks(ready, ranks)
+	silent := b.silentRanks(ready, group, ranks)
+	few := len(silent) <= len(ready)/maxSilentPart
 	for _, u := range ready {
 		p := b.peer(u.Name)
 		rank, ok := ranks[u.Address]
 		if !ok {
-			if silent <= len(ready)/maxSilentPart {
+			if few && silent[u.Name] {
 				p.silent = now.Add(silentTime)
 			}
 			continue
 		}
+		p.group = group
 		p.silent = time.Time{}
 		p.pace = rank.Pace
 		p.tell(&rank.Load, at)
 	}
 }
 
-// silentRanks returns how many upstreams have not said anything.
-func silentRanks(ready []route.Upstream, ranks map[foxtailstack.Address]RankLoad) int {
-	n := 0
+// silentRanks returns the upstreams of a group that have not said anything. If no
+// other group is known, those whose group is not known are taken for its ranks. The
+// caller holds mu.
+func (b *Board) silentRanks(
+	ready []route.Upstream,
+	group GroupName,
+	ranks map[foxtailstack.Address]RankLoad,
+) map[foxtailstack.UpstreamName]bool {
+	silent := make(map[foxtailstack.UpstreamName]bool)
+	alone := true
+	for _, u := range ready {
+		known := b.peer(u.Name).group
+		alone = alone && (known == "" || known == group)
+	}
 	for _, u := range ready {
 		_, ok := ranks[u.Address]
-		if !ok {
-			n++
+		known := b.peer(u.Name).group
+		if !ok && (known == group || known == "" && alone) {
+			silent[u.Name] = true
 		}
 	}
-	return n
+	return silent
 }
 
 // Paused records the pause between the last two events of a stream of a group.
@@ -272,9 +288,9 @@
 	case Moved:
 		p.shunned = now.Add(maxShun)
 	case Broken:
-		q.breakUntil(now.Add(probePause))
+		t.gate.breakUntil(now.Add(probePause))
 	}
-	q.ended(t.probe, report.Outcome, now)
+	t.gate.ended(t.probe, report.Outcome, now)
 	b.serve(q)
 }
 
@@ -285,7 +301,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	q := b.queue(t.service)
-	q.ended(t.probe, Answered, time.Now())
+	t.gate.ended(t.probe, Answered, time.Now())
 	t.probe = false
 	b.serve(q)
 }
@@ -303,22 +319,14 @@
 			w.granted <- grant{err: q.crowded(now)}
 			continue
 		}
-		probe, wait := q.gate(now)
-		if wait > 0 {
-			b.later(q, wait)
-			return
-		}
-		t := b.pick(&w.ask, now)
+		t, wait := b.pick(&w.ask, now)
+		q.shut = wait > 0
 		if t == nil {
-			b.later(q, retryPause)
+			b.later(q, max(wait, retryPause))
 			continue
 		}
 		q.remove(w)
 		q.count(now)
-		t.probe = probe
-		if probe {
-			q.probed = now
-		}
 		w.granted <- grant{ticket: t}
 	}
 }
@@ -345,15 +353,17 @@
 // maxDraws is the number of ranks of which the cheapest is taken.
 const maxDraws = 2
 
-// pick returns a ticket for the cheapest upstream that the request may go to,
-// or nil if there is none. Those that are avoided come last. Ranks whose slots
+// pick returns a ticket for the cheapest upstream that the request may go to. If
+// there is none it returns nil, and how long gates keep the request from some. Those that are avoided come last. Ranks whose slots
 // are all taken get nothing, since what waits there makes all late that comes
 // after it, and those that do not answer the planner get nothing either.
 //
 // Of the ranks of a group only a few are drawn by chance: all entries are told the
 // same loads at the same time, and would all send to the ranks with the least. The
 // caller holds mu.
-func (b *Board) pick(ask *Ask, now time.Time) *Ticket {
+func (b *Board) pick(ask *Ask, now time.Time) (*Ticket, time.Duration) {
+	q := b.queue(ask.Service)
+	shut := time.Duration(0)
 	var best *route.Upstream
 	var bestPeer *peer
 	bestAvoided := true
@@ -370,6 +380,11 @@
 		if ask.Grouped && (p.busy(now) || now.Before(p.silent)) {
 			continue
 		}
+		_, wait := q.gate(p.group).check(now)
+		if wait > 0 {
+			shut = wait
+			continue
+		}
 		avoided := p.avoided(now)
 		if ask.Grouped && !avoided {
 			draws++
@@ -383,14 +398,20 @@
 		}
 	}
 	if best == nil {
-		return nil
+		return nil, shut
 	}
 	bestPeer.run(1, now)
-	return &Ticket{
+	t := &Ticket{
 		Upstream: *best,
 		board:    b,
 		service:  ask.Service,
+		gate:     q.gate(bestPeer.group),
+	}
+	t.probe, _ = t.gate.check(now)
+	if t.probe {
+		t.gate.probed = now
 	}
+	return t, 0
 }
 
 // peer returns what is known of an upstream. The caller holds mu.
--- a/dispatch/board_test.go
+++ b/dispatch/board_test.go
@@ -31,6 +31,9 @@
 	return &dispatch.Board{Fleet: func() *route.Fleet { return fleet }}
 }
 
+// groupName is the group of all upstreams of a board.
+const groupName dispatch.GroupName = "g0"
+
 // take acquires a ticket that must be had at once.
 func take(t *testing.T, b *dispatch.Board, ask dispatch.Ask) *dispatch.Ticket {
 	t.Helper()
@@ -63,7 +66,7 @@
 func TestBoardAvoidsSlowRank(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBoard(3, 12)
-		b.TellGroup(service, map[foxtailstack.Address]dispatch.RankLoad{
+		b.TellGroup(service, groupName, map[foxtailstack.Address]dispatch.RankLoad{
 			"10.0.0.0:1": {Pace: 4.7},
 			"10.0.0.1:1": {Pace: 1},
 			"10.0.0.2:1": {Pace: 1},
@@ -87,7 +90,7 @@
 			"10.0.0.2:1": {Pace: 1},
 			"10.0.0.3:1": {Pace: 1},
 		}
-		b.TellGroup(service, alive, 0)
+		b.TellGroup(service, groupName, alive, 0)
 		for range 33 {
 			if take(t, b, dispatch.Ask{Grouped: true}).Upstream.Name == "u0" {
 				t.Fatal("a request went to the rank that does not answer")
@@ -108,7 +111,7 @@
 func TestBoardDoubtsCutPlanner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBoard(4, 12)
-		b.TellGroup(service, map[foxtailstack.Address]dispatch.RankLoad{"10.0.0.1:1": {Pace: 1}}, 0)
+		b.TellGroup(service, groupName, map[foxtailstack.Address]dispatch.RankLoad{"10.0.0.1:1": {Pace: 1}}, 0)
 		got := map[foxtailstack.UpstreamName]bool{}
 		for range 37 { // more than three ranks have slots for
 			got[take(t, b, dispatch.Ask{Grouped: true}).Upstream.Name] = true
@@ -362,3 +365,39 @@
 		ticket.Done(dispatch.Report{Outcome: dispatch.Answered})
 	}
 }
+
+// Pattern: a service of two groups, one of which has lost a rank and refuses all.
+// The other goes on getting requests.
+func TestBoardLeavesBrokenGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBoard(4, 12)
+		for group, ranks := range map[dispatch.GroupName][]foxtailstack.Address{
+			"g0": {"10.0.0.0:1", "10.0.0.1:1"},
+			"g1": {"10.0.0.2:1", "10.0.0.3:1"},
+		} {
+			loads := make(map[foxtailstack.Address]dispatch.RankLoad)
+			for _, rank := range ranks {
+				loads[rank] = dispatch.RankLoad{Pace: 1}
+			}
+			b.TellGroup(service, group, loads, 0)
+		}
+		works := map[foxtailstack.UpstreamName]bool{
+			"u2": true,
+			"u3": true,
+		}
+		broken := 0
+		for range 200 {
+			ticket := take(t, b, dispatch.Ask{Grouped: true})
+			outcome := dispatch.Answered
+			if !works[ticket.Upstream.Name] {
+				broken++
+				outcome = dispatch.Broken
+			}
+			ticket.Done(dispatch.Report{Outcome: outcome})
+			time.Sleep(10 * time.Millisecond)
+		}
+		if broken > 20 { // two seconds of probes each 0.12 s
+			t.Errorf("%d of 200 requests went to the broken group", broken)
+		}
+	})
+}
--- a/dispatch/herd_test.go
+++ b/dispatch/herd_test.go
@@ -66,7 +66,7 @@
 			Pace: 1,
 		}
 	}
-	c.board.TellGroup(service, ranks, herdAge)
+	c.board.TellGroup(service, groupName, ranks, herdAge)
 }
 
 func (c *boardChooser) send(t *testing.T) (int, func()) {
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -35,6 +35,8 @@
 
 // peer is what a Board knows of one upstream.
 type peer struct {
+	// group is that of a rank; empty if it is not known.
+	group GroupName
 	slots int
 	// running is the number of this process's requests there, and past what it was.
 	running int
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -7,10 +7,6 @@
 )
 
 const (
-	// probePause is the time between two requests sent to a broken group.
-	probePause = 120 * time.Millisecond
-	// probeTimeout is how long such a request may take before another is sent.
-	probeTimeout = 300 * time.Millisecond
 	// retryPause is the time after which those that no upstream suits look again.
 	retryPause = 25 * time.Millisecond
 	// rescueTime is how long before a request's time gets too short it goes first.
@@ -43,17 +39,15 @@
 	return !limit.IsZero() && at.After(limit)
 }
 
-// queue holds the requests of a service that wait, and whether its group works.
+// queue holds the requests of a service that wait, and whether its groups work.
 type queue struct {
 	waiting []*waiter
-	// broken tells that the group refused the last request; until then nothing
-	// is sent to it, and then one request at a time.
-	broken bool
-	until  time.Time
-	// probed is when the last request was sent to a broken group, if its outcome
-	// is still open.
-	probed time.Time
-	pulse  pulse
+	// gates are those of its groups. Upstreams whose group is not known share that
+	// of the empty name.
+	gates map[GroupName]*gate
+	// shut tells that only gates kept a request from being sent.
+	shut  bool
+	pulse pulse
 	// timer serves the queue when it is due; nil if none is set.
 	timer *time.Timer
 	due   time.Time
@@ -120,35 +114,17 @@
 	return passed(w.ask.Fresh, now)
 }
 
-// gate returns how long nothing may be sent, and whether what may be sent is a
-// probe of a broken group.
-func (q *queue) gate(now time.Time) (probe bool, wait time.Duration) {
-	if !q.broken {
-		return false, 0
+// gate returns the gate of a group.
+func (q *queue) gate(group GroupName) *gate {
+	if q.gates == nil {
+		q.gates = make(map[GroupName]*gate)
 	}
-	if !q.probed.IsZero() {
-		wait = q.probed.Add(probeTimeout).Sub(now)
+	g, ok := q.gates[group]
+	if !ok {
+		g = &gate{}
+		q.gates[group] = g
 	}
-	return true, max(wait, q.until.Sub(now))
-}
-
-// breakUntil records that the group refused a request.
-func (q *queue) breakUntil(until time.Time) {
-	q.broken = true
-	q.until = until
-}
-
-// ended records how a request to a broken group went.
-func (q *queue) ended(probe bool, outcome Outcome, now time.Time) {
-	if !probe {
-		return
-	}
-	q.probed = time.Time{}
-	if outcome == Answered {
-		q.broken = false
-		return
-	}
-	q.breakUntil(now.Add(probePause))
+	return g
 }
 
 // count counts a ticket for the rate.
@@ -175,7 +151,7 @@
 // wait returns how long a request that arrives now would wait, or false if that
 // is not known.
 func (q *queue) wait(now time.Time) (time.Duration, bool) {
-	if q.broken || q.rate == 0 || now.Sub(q.began) > 2*rateWindow {
+	if q.shut || q.rate == 0 || now.Sub(q.began) > 2*rateWindow {
 		return 0, false
 	}
 	return time.Duration(float64(len(q.waiting)) / q.rate * float64(time.Second)), true
--- a/machine/entry.go
+++ b/machine/entry.go
@@ -202,26 +202,29 @@
 			}
 			watched[name] = true
 			watcher := &group.Watcher{
-				Client:   client,
-				Sidecars: func() []foxtailstack.Address { return e.sidecars(name) },
-				Tell:     func(status group.Status) { e.tell(name, status) },
-				Log:      e.log,
+				Client: client,
+				Pairs:  func() []group.Pair { return e.pairs(name) },
+				Tell:   func(status group.Status) { e.tell(name, status) },
+				Log:    e.log,
 			}
 			go watcher.Run(ctx)
 		}
 	}
 }
 
-// sidecars returns the addresses of the sidecars beside a service.
-func (e *Entry) sidecars(service foxtailstack.ServiceName) []foxtailstack.Address {
-	var addresses []foxtailstack.Address
+// pairs returns the upstreams of a service with the sidecars beside them.
+func (e *Entry) pairs(service foxtailstack.ServiceName) []group.Pair {
+	var pairs []group.Pair
 	for _, u := range e.view.Fleet().Ready(service) {
 		address, ok := sidecarOf(u, e.settings.Peers)
 		if ok {
-			addresses = append(addresses, address)
+			pairs = append(pairs, group.Pair{
+				Upstream: u.Address,
+				Sidecar:  address,
+			})
 		}
 	}
-	return addresses
+	return pairs
 }
 
 // tell passes the status of a group on to the board.
@@ -236,7 +239,7 @@
 			Pace: rank.Pace,
 		}
 	}
-	e.board.TellGroup(service, ranks, status.Age)
+	e.board.TellGroup(service, dispatch.GroupName(status.Group), ranks, status.Age)
 }
 
 // configWait returns how long a call for changes of the configuration may wait, so
