--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -57,7 +57,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := standin.LastEventOf(r) + 1; n <= streamEvents; n++ {
 		if !wait() {
-			return
+			panic(http.ErrAbortHandler) // the connection ends, so that the stream is not taken for whole
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, id)
 		_ = http.NewResponseController(w).Flush()
@@ -120,7 +120,7 @@
 		wg.Go(func() {
 			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 			for ctx.Err() == nil {
-				c.send(client, worker%entries)
+				c.send(client, worker%*entries)
 				time.Sleep(time.Duration(20+worker*7) * time.Millisecond)
 			}
 		})
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -6,11 +6,16 @@
 // A run starts entries and sidecars on addresses of the loopback network, before
 // stand-ins for the store, for plain upstreams and for a model group. Every way
 // to a stand-in leads through a proxy that delays, resets, cuts or silences it;
-// processes are killed, stopped, paused, restarted and told to reload. Rounds of
+// processes are killed, stopped, paused, restarted and told to reload; ranks crash, and
+// their group opens anew. Rounds of
 // trouble and of calm follow each other. All of it is in the tests:
 //
 //	go test ./soak -run Soak -soak.seed 7 -soak.rounds 3 -v
 //	go test ./soak -run Soak -soak.seeds 50 -timeout 60m
+//	go test ./soak -run Soak -soak.entries 20 -soak.ranks 30
+//
+// Processes use the time of day for the stamps of log lines only, so that clocks do
+// not jump here: nothing would follow from it.
 //
 // # Promises checked
 //
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -21,6 +21,9 @@
 	seedFlag   = flag.Uint64("soak.seed", 1, "seed of the only or first run")
 	seedsFlag  = flag.Int("soak.seeds", 1, "number of runs, with a seed each")
 	roundsFlag = flag.Int("soak.rounds", 1, "rounds of trouble and calm in a run")
+	// entries and ranks are the numbers of processes.
+	entries = flag.Int("soak.entries", 3, "number of entries")
+	ranks   = flag.Int("soak.ranks", 3, "number of ranks, with a sidecar each")
 )
 
 const (
@@ -86,7 +89,7 @@
 // awaitReady waits until all entries are ready.
 func (s *system) awaitReady() {
 	until := time.Now().Add(10 * time.Second)
-	for i := range entries {
+	for i := range *entries {
 		for !s.ready(i) {
 			if time.Now().After(until) {
 				s.t.Fatalf("entry %d is not ready\n%s", i, s.tail())
@@ -119,7 +122,7 @@
 	for _, p := range s.processes {
 		names = append(names, "store "+p.name)
 	}
-	for i := range ranks {
+	for i := range *ranks {
 		names = append(names, fmt.Sprintf("upstream models-%d", i))
 	}
 	for i := range plain {
@@ -164,8 +167,12 @@
 			Late:   2,
 			LateBy: last,
 		})
-	case n < 94:
+	case n < 93:
 		s.store.Rows.Forget()
+	case n < 97:
+		s.group.Crash(n % *ranks)
+		time.Sleep(last)
+		s.group.Open()
 	default:
 		s.group.Shift()
 	}
@@ -225,7 +232,7 @@
 	time.Sleep(healTime)
 	began := time.Now()
 	time.Sleep(calmTime)
-	p := s.processes[rng.IntN(entries)]
+	p := s.processes[rng.IntN(*entries)]
 	stopped := time.Now()
 	s.restart(p, syscall.SIGTERM)
 	s.checkServed(c.between(began, stopped))
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -19,12 +19,8 @@
 	"github.com/foxtailstack/foxtailstack/platform/standin"
 )
 
-// Sizes of a system.
-const (
-	entries = 3
-	ranks   = 3
-	plain   = 2
-)
+// plain is the number of plain upstreams.
+const plain = 2
 
 // Times that the settings hold processes to.
 const (
@@ -92,7 +88,7 @@
 		binary: binary,
 		store:  &standin.Server{},
 		group: &standin.Ranks{
-			Size:    ranks,
+			Size:    *ranks,
 			Sets:    standin.ModelSets,
 			Experts: standin.ModelExperts,
 		},
@@ -106,16 +102,16 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stops = append(s.stops, cancel)
 	s.group.Start(ctx)
-	for i := range ranks {
+	for i := range *ranks {
 		s.upstream(rankMachine, i, "models", s.group.Handler(i, s.runs.stream))
 	}
 	for i := range plain {
 		s.upstream(plainMachine, i, "drafts", http.HandlerFunc(s.runs.answer))
 	}
-	for i := range entries {
+	for i := range *entries {
 		s.process("entry", entryMachine, i, served.Listener.Addr().String())
 	}
-	for i := range ranks {
+	for i := range *ranks {
 		s.process("sidecar", rankMachine, i, served.Listener.Addr().String())
 	}
 	return s
