--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -9,9 +9,6 @@
 	probeTimeout = 300 * time.Millisecond
 )
 
-// GroupName names a group of ranks behind a service.
-type GroupName string
-
 // gate keeps requests from a group that does not work. The zero value lets all
 // pass.
 type gate struct {
--- /dev/null
+++ b/dispatch/group.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/exchange"
+	"github.com/foxtailstack/foxtailstack/route"
+)
+
+// GroupName names a group of ranks behind a service.
+type GroupName string
+
+// RankLoad is what is known of one rank of a group.
+type RankLoad struct {
+	Load exchange.Load
+	// Pace is over one if the rank is slow.
+	Pace float64
+}
+
+// TellGroup records the load of the ranks of a group behind a service, by address,
+// as it was some time ago.
+func (b *Board) TellGroup(
+	service foxtailstack.ServiceName,
+	group GroupName,
+	ranks map[foxtailstack.Address]RankLoad,
+	age time.Duration,
+) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	at := now.Add(-age)
+	ready := b.Fleet().Ready(service)
+	silent := b.silentRanks(ready, group, ranks)
+	few := len(silent) <= len(ready)/maxSilentPart
+	for _, u := range ready {
+		p := b.peer(u.Name)
+		rank, ok := ranks[u.Address]
+		if !ok {
+			if few && silent[u.Name] {
+				p.silent = now.Add(silentTime)
+			}
+			continue
+		}
+		p.group = group
+		p.silent = time.Time{}
+		p.pace = rank.Pace
+		p.tell(&rank.Load, at)
+	}
+}
+
+// silentRanks returns the upstreams of a group that have not said anything. If no
+// other group is known, those whose group is not known are taken for its ranks. The
+// caller holds mu.
+func (b *Board) silentRanks(
+	ready []route.Upstream,
+	group GroupName,
+	ranks map[foxtailstack.Address]RankLoad,
+) map[foxtailstack.UpstreamName]bool {
+	silent := make(map[foxtailstack.UpstreamName]bool)
+	alone := true
+	for _, u := range ready {
+		known := b.peer(u.Name).group
+		alone = alone && (known == "" || known == group)
+	}
+	for _, u := range ready {
+		_, ok := ranks[u.Address]
+		known := b.peer(u.Name).group
+		if !ok && (known == group || known == "" && alone) {
+			silent[u.Name] = true
+		}
+	}
+	return silent
+}
+
+// Paused records the pause between the last two events of a stream of a group.
+func (b *Board) Paused(service foxtailstack.ServiceName, pause time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.queue(service).pulse.add(time.Now(), pause)
+}
+
+// Pass returns the time of a pass of the group behind a service, or zero if that
+// is not known.
+func (b *Board) Pass(service foxtailstack.ServiceName) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.queue(service).pulse.pass(time.Now())
+}
--- /dev/null
+++ b/dispatch/ticket.go
@@ -0,0 +1,85 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/route"
+)
+
+// Outcome says how the use of a ticket ended.
+type Outcome uint8
+
+const (
+	// Abandoned means that nothing was learnt of the upstream.
+	Abandoned Outcome = iota
+	// Answered means that the upstream answered in full.
+	Answered
+	// Failed means that it answered wrongly or broke off.
+	Failed
+	// Refused means that it did not run the request.
+	Refused
+	// Unreachable means that there was no connection to it.
+	Unreachable
+	// Moved means that its address belongs to another upstream now.
+	Moved
+	// Broken means that its group cannot work.
+	Broken
+)
+
+// Report is what the user of a ticket learnt.
+type Report struct {
+	Outcome Outcome
+	// Took is the time until the answer; zero if it does not count.
+	Took time.Duration
+}
+
+// Ticket is the right to send one request to one upstream.
+type Ticket struct {
+	Upstream route.Upstream
+	board    *Board
+	service  foxtailstack.ServiceName
+	gate     *gate
+	probe    bool
+}
+
+// Done gives a ticket back. It must be called once.
+func (t *Ticket) Done(report Report) {
+	b := t.board
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	p := b.peer(t.Upstream.Name)
+	p.run(-1, now)
+	q := b.queue(t.service)
+	switch report.Outcome {
+	case Abandoned:
+	case Answered:
+		p.strikes = 0
+		p.outcome(false, report.Took)
+	case Failed:
+		p.outcome(true, 0)
+	case Refused:
+		p.full = now.Add(fullTime)
+	case Unreachable:
+		p.strike(now)
+	case Moved:
+		p.shunned = now.Add(maxShun)
+	case Broken:
+		t.gate.breakUntil(now.Add(probePause))
+	}
+	t.gate.ended(t.probe, report.Outcome, now)
+	b.serve(q)
+}
+
+// Opened tells that an upstream has begun to answer, which a broken group
+// does not.
+func (t *Ticket) Opened() {
+	b := t.board
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	q := b.queue(t.service)
+	t.gate.ended(t.probe, Answered, time.Now())
+	t.probe = false
+	b.serve(q)
+}
--- a/measure/maps.go
+++ b/measure/maps.go
@@ -106,19 +106,58 @@
 	}
 	n := float64(result.spans)
 	return Line{
-		{Key: "experiment", Value: "maps"},
-		{Key: "ranks", Value: size.ranks},
-		{Key: "experts", Value: size.experts},
-		{Key: "sets", Value: size.sets},
-		{Key: "shifts", Value: mapsShifts},
-		{Key: "before", Value: result.before / n},
-		{Key: "first", Value: result.first / n},
-		{Key: "after", Value: result.after / n},
-		{Key: "worst", Value: result.worst},
-		{Key: "uneven_share", Value: float64(result.uneven) / n},
-		{Key: "maps", Value: float64(result.rounds) / n},
-		{Key: "copies", Value: float64(result.copies*size.sets) / n},
-		{Key: "plan_ms", Value: result.took.Seconds() * 1000 * float64(size.sets) / float64(result.plans)},
+		{
+			Key:   "experiment",
+			Value: "maps",
+		},
+		{
+			Key:   "ranks",
+			Value: size.ranks,
+		},
+		{
+			Key:   "experts",
+			Value: size.experts,
+		},
+		{
+			Key:   "sets",
+			Value: size.sets,
+		},
+		{
+			Key:   "shifts",
+			Value: mapsShifts,
+		},
+		{
+			Key:   "before",
+			Value: result.before / n,
+		},
+		{
+			Key:   "first",
+			Value: result.first / n,
+		},
+		{
+			Key:   "after",
+			Value: result.after / n,
+		},
+		{
+			Key:   "worst",
+			Value: result.worst,
+		},
+		{
+			Key:   "uneven_share",
+			Value: float64(result.uneven) / n,
+		},
+		{
+			Key:   "maps",
+			Value: float64(result.rounds) / n,
+		},
+		{
+			Key:   "copies",
+			Value: float64(result.copies*size.sets) / n,
+		},
+		{
+			Key:   "plan_ms",
+			Value: result.took.Seconds() * 1000 * float64(size.sets) / float64(result.plans),
+		},
 	}
 }
 
