Log until when a caller is patient, and say whom a refusal of a group names

They also showed that each rank of a broken group names itself as the one at fault; explain said that this rank did not work.

--- a/explain/verdict.go
+++ b/explain/verdict.go
@@ -39,7 +39,7 @@
 	for _, line := range own {
 		culprit := line.Get("culprit")
 		if culprit != "" {
-			return fmt.Sprintf("The group did not work, since its rank at %s did not.\n%s", culprit, text)
+			return fmt.Sprintf("A rank of the group did not work; the refusal names %s.\n%s", culprit, text)
 		}
 	}
 	return text
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -63,8 +63,10 @@
 	last *whole
 	// stream is the state of a stream whose answer has begun.
 	stream stream
-	// needs is the least time in which the request can be served.
-	needs time.Duration
+	// needs is the least time in which the request can be served, begins when the
+	// caller leaves if no event has come; zero means never.
+	needs  time.Duration
+	begins time.Time
 	// waited is the time spent waiting for upstreams.
 	waited time.Duration
 	// first is the time until the first bytes of the answer.
@@ -171,6 +173,7 @@
 	events := int64(tokens) / int64(max(shape.Stride, 1))
 	ask.Needs = ask.First + time.Duration(hintTrust*float64(events))*max(pass, leastPass)
 	c.needs = ask.Needs
+	c.begins = ask.Begins
 }
 
 // mayRetry reports whether the request may be sent once more.
--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -54,11 +54,16 @@
 	if !errors.As(err, &crowded) {
 		return
 	}
+	patience := time.Duration(0)
+	if !c.begins.IsZero() {
+		patience = time.Until(c.begins)
+	}
 	c.gateway.Log.Info("request cannot be served in time",
 		zap.String("request", string(c.request.ID)),
 		zap.Int("queued", crowded.Queued),
 		zap.Duration("wait", crowded.Wait),
 		zap.Duration("pass", crowded.Pass),
 		zap.Duration("needs", c.needs),
-		zap.Duration("left", time.Until(c.ends)))
+		zap.Duration("left", time.Until(c.ends)),
+		zap.Duration("patience", patience))
 }
