--- a/dispatch/board_test.go
+++ b/dispatch/board_test.go
@@ -401,3 +401,81 @@
 		}
 	})
 }
+
+// Pattern: a rank has crashed and its group refuses everything for some seconds.
+// Callers that would leave before it works again are told so at once and come back;
+// those that come late enough wait for it.
+func TestBoardRefusesDuringOutage(t *testing.T) {
+	const patience = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		b := newBoard(2, 12)
+		take(t, b, dispatch.Ask{Grouped: true}).Done(dispatch.Report{Outcome: dispatch.Broken})
+		began := time.Now()
+		wait := func() (time.Duration, error) {
+			since := time.Now()
+			ticket, err := b.Acquire(t.Context(), dispatch.Ask{
+				Service: service,
+				Grouped: true,
+				Begins:  since.Add(patience),
+				First:   200 * time.Millisecond,
+			})
+			if err == nil {
+				outcome := dispatch.Broken
+				if time.Since(began) > 3*time.Second {
+					outcome = dispatch.Answered
+				}
+				ticket.Done(dispatch.Report{Outcome: outcome})
+			}
+			return time.Since(since), err
+		}
+		took, err := wait()
+		if !errors.Is(err, dispatch.ErrCrowded) || took > 50*time.Millisecond {
+			t.Errorf("at the beginning of the outage: error %v after %s, want a refusal at once", err, took)
+		}
+		outage := b.Outage(service)
+		if outage < 2*time.Second || outage > 4*time.Second {
+			t.Errorf("the group is taken to be broken for %s more", outage)
+		}
+		time.Sleep(2 * time.Second)
+		_, err = wait()
+		if err != nil {
+			t.Errorf("near the end of the outage: %v, want to wait for it", err)
+		}
+	})
+}
+
+// Pattern: the rank that had crashed is replaced by one of another name, and all that
+// wait for its group would go there though the group has not opened yet.
+func TestBoardProbesThroughReplacedRank(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBoard(3, 12)
+		b.TellGroup(service, groupName, map[foxtailstack.Address]dispatch.RankLoad{
+			"10.0.0.0:1": {Pace: 1},
+			"10.0.0.1:1": {Pace: 1},
+		}, 0)
+		for {
+			ticket := take(t, b, dispatch.Ask{Grouped: true})
+			if ticket.Upstream.Name != "u2" { // which is new
+				ticket.Done(dispatch.Report{Outcome: dispatch.Broken})
+				break
+			}
+			ticket.Done(dispatch.Report{})
+		}
+		granted := 0
+		for range 30 {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+			_, err := b.Acquire(ctx, dispatch.Ask{
+				Service: service,
+				Grouped: true,
+			})
+			cancel()
+			if err == nil {
+				granted++
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		if granted > 1 {
+			t.Errorf("%d requests were sent within 0.18 s, want one probe", granted)
+		}
+	})
+}
--- a/group/planner.go
+++ b/group/planner.go
@@ -133,18 +133,10 @@
 // act does what a survey calls for.
 func (p *Planner) act(ctx context.Context, survey *Survey) error {
 	shape := p.Shape()
-	for _, sample := range survey.Samples {
-		p.demand.Add(sample)
-	}
 	if shape == nil {
 		return nil
 	}
-	wasSteady := p.demand.Steady()
-	distance := p.demand.End(time.Now(), shape.Sets)
-	if wasSteady && !p.demand.Steady() {
-		shiftsTotal.Inc()
-		p.Log.Info("demand shifted", zap.Float64("distance", distance))
-	}
+	p.sample(survey, shape)
 	s := newSwitcher(survey, p.Self, p.Fence, p.Log)
 	s.pass = p.pass
 	if len(survey.Reports) == 0 || !survey.together() {
@@ -174,6 +166,25 @@
 	return p.improve(ctx, survey, s, shape)
 }
 
+// sample takes what the requests of ranks chose into the demand. The first requests
+// of a group that has just opened are few and tell little; what was in demand before
+// serves better until its first map.
+func (p *Planner) sample(survey *Survey, shape *route.Group) {
+	known := p.demand.fits(shape.Sets, shape.Experts)
+	if known && p.formation != 0 && p.formation != survey.formation() {
+		return
+	}
+	for _, sample := range survey.Samples {
+		p.demand.Add(sample)
+	}
+	wasSteady := p.demand.Steady()
+	distance := p.demand.End(time.Now(), shape.Sets)
+	if wasSteady && !p.demand.Steady() {
+		shiftsTotal.Inc()
+		p.Log.Info("demand shifted", zap.Float64("distance", distance))
+	}
+}
+
 // plant makes all ranks that answered know the fencing number, so that whatever
 // former planners have sent is refused when it comes. What is to be done then
 // follows from the next survey.
--- a/group/switch_test.go
+++ b/group/switch_test.go
@@ -324,6 +324,43 @@
 	})
 }
 
+// Pattern: a group opens anew, with its first map, while many requests wait. The few
+// that are read first choose other experts than all did before, which is no shift of
+// demand: the next map follows at once.
+func TestMapFollowsOpening(t *testing.T) {
+	const soon = 700 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(4)
+		ctx, cancel := context.WithCancel(t.Context())
+		go w.run(ctx)
+		w.start(ctx, 0, 1)
+		time.Sleep(1900 * time.Millisecond)
+		w.mu.Lock()
+		if w.ranks[0].report.Map == 0 {
+			t.Error("no map before the group opens anew")
+		}
+		w.reform()
+		for _, r := range w.ranks {
+			r.counts = Counts{
+				Formation: w.formed,
+				Chosen:    make([]float64, len(r.demand)),
+			}
+			r.demand[3] += 20000
+			r.demand[9] += 20000
+		}
+		w.mu.Unlock()
+		time.Sleep(soon)
+		w.mu.Lock()
+		if w.ranks[0].report.Map == 0 {
+			t.Errorf("no map %s after the group has opened anew", soon)
+		}
+		w.mu.Unlock()
+		w.check(t)
+		cancel()
+		time.Sleep(time.Minute) // lets all goroutines end
+	})
+}
+
 // struck reports whether a fault that is set under mu has come.
 func (w *world) struck(flag *bool) bool {
 	w.mu.Lock()
