--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -103,15 +103,10 @@
 			w.granted <- grant{err: q.crowded(now)}
 			continue
 		}
-		t, gates := b.pick(&w.ask, now)
-		q.shut = gates.wait > 0
-		if t == nil && gates.outage > 0 && w.hopeless(now.Add(gates.outage)) {
-			q.remove(w)
-			w.granted <- grant{err: q.crowded(now)}
-			continue
-		}
+		t, wait := b.pick(&w.ask, now)
+		q.shut = wait > 0
 		if t == nil {
-			b.later(q, max(gates.wait, retryPause))
+			b.later(q, max(wait, retryPause))
 			continue
 		}
 		q.remove(w)
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -87,11 +87,3 @@
 	defer b.mu.Unlock()
 	return b.queue(service).pulse.pass(time.Now())
 }
-
-// Outage returns how much longer a group behind a service will likely be broken;
-// zero if all work.
-func (b *Board) Outage(service foxtailstack.ServiceName) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.queue(service).outage(time.Now())
-}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -9,26 +9,17 @@
 // maxDraws is the number of ranks of which the cheapest is taken.
 const maxDraws = 2
 
-// closed tells how gates keep a request from upstreams that would suit it.
-type closed struct {
-	// wait is how long nothing may be sent; zero if no gate is closed.
-	wait time.Duration
-	// outage is how much longer all groups will likely be broken; zero if one works.
-	outage time.Duration
-}
-
-// pick returns a ticket for the cheapest upstream that the request may go to, or
-// nil and what gates there are.
+// pick returns a ticket for the cheapest upstream that the request may go to. If
+// there is none it returns nil, and how long gates keep the request from some.
 //
 // Those that are avoided come last. Ranks whose slots are all taken get nothing,
 // since what waits there makes all late that comes after it, and those that do not
 // answer the planner get nothing either. Of the ranks of a group only a few are
 // drawn by chance: all entries are told the same loads at the same time, and would
 // all send to the ranks with the least. The caller holds mu.
-func (b *Board) pick(ask *Ask, now time.Time) (*Ticket, closed) {
+func (b *Board) pick(ask *Ask, now time.Time) (*Ticket, time.Duration) {
 	q := b.queue(ask.Service)
-	var shut closed
-	works := false
+	shut := time.Duration(0)
 	var best *route.Upstream
 	var bestPeer *peer
 	bestAvoided := true
@@ -43,15 +34,12 @@
 		}
 		p := b.peer(u.Name)
 		p.slots = u.Slots
-		g := q.gate(p.group)
-		works = works || !g.broken
 		if ask.Grouped && (p.busy(now) || now.Before(p.silent)) {
 			continue
 		}
-		_, wait := g.check(now)
+		_, wait := q.gate(p.group).check(now)
 		if wait > 0 {
-			shut.wait = wait
-			shut.outage = g.outage(now)
+			shut = wait
 			continue
 		}
 		avoided := p.avoided(now)
@@ -67,9 +55,6 @@
 		}
 	}
 	if best == nil {
-		if works {
-			shut.outage = 0
-		}
 		return nil, shut
 	}
 	bestPeer.run(1, now)
@@ -83,5 +68,5 @@
 	if t.probe {
 		t.gate.probed = now
 	}
-	return t, closed{}
+	return t, 0
 }
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -114,16 +114,8 @@
 	return passed(w.ask.Fresh, now)
 }
 
-// gate returns the gate of a group. An upstream whose group is not known, such as a
-// rank that has just been replaced, is taken for one of the group that is broken, if
-// one is: all that wait would go there at once otherwise.
+// gate returns the gate of a group.
 func (q *queue) gate(group GroupName) *gate {
-	if group == "" {
-		broken := q.broken()
-		if broken != nil {
-			return broken
-		}
-	}
 	if q.gates == nil {
 		q.gates = make(map[GroupName]*gate)
 	}
@@ -135,17 +127,6 @@
 	return g
 }
 
-// broken returns the gate of the group that broke last, or nil if all work.
-func (q *queue) broken() *gate {
-	var last *gate
-	for _, g := range q.gates {
-		if g.broken && (last == nil || g.since.After(last.since)) {
-			last = g
-		}
-	}
-	return last
-}
-
 // count counts a ticket for the rate.
 func (q *queue) count(now time.Time) {
 	age := now.Sub(q.began)
@@ -157,16 +138,6 @@
 	q.granted++
 }
 
-// outage returns how much longer the group that broke last will likely be broken;
-// zero if all work.
-func (q *queue) outage(now time.Time) time.Duration {
-	last := q.broken()
-	if last == nil {
-		return 0
-	}
-	return last.outage(now)
-}
-
 // crowded returns why a request is refused.
 func (q *queue) crowded(now time.Time) error {
 	wait, _ := q.wait(now)
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -66,7 +66,7 @@
 	case Moved:
 		p.shunned = now.Add(maxShun)
 	case Broken:
-		t.gate.breakUntil(now.Add(probePause), now)
+		t.gate.breakUntil(now.Add(probePause))
 	}
 	t.gate.ended(t.probe, report.Outcome, now)
 	b.serve(q)
--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -36,7 +36,7 @@
 	case ctx.Err() != nil:
 		c.refuse(reasonTimeout, soonReturn)
 	default:
-		c.refuse(reasonFull, c.fullReturn())
+		c.refuse(reasonFull, soonReturn)
 	}
 }
 
@@ -45,26 +45,6 @@
 // and while there is time left to be served.
 func (c *call) crowdedReturn() time.Duration {
 	after := soonReturn + rand.N(spreadReturn)
-	return c.inTime(max(after, c.afterOutage()))
-}
-
-// fullReturn returns when a caller should come back to upstreams that refused.
-func (c *call) fullReturn() time.Duration {
-	return c.inTime(max(soonReturn, c.afterOutage()))
-}
-
-// afterOutage returns when a group that is broken will likely work again, with a
-// spread so that not all come at once.
-func (c *call) afterOutage() time.Duration {
-	outage := c.gateway.Board.Outage(c.service)
-	if outage == 0 {
-		return 0
-	}
-	return outage + rand.N(spreadReturn)
-}
-
-// inTime bounds a time to come back by what is left of the caller's.
-func (c *call) inTime(after time.Duration) time.Duration {
 	return min(after, max(time.Until(c.ends)/leastParts, nearReturn))
 }
 
