--- a/group/doc.go
+++ b/group/doc.go
@@ -21,6 +21,10 @@
 //   - Once an order to arm may have been sent for H, H begins with that map only:
 //     whoever plans arms all other ranks and does not release before. The map is
 //     the highest that every rank has prepared, which any planner finds alike.
+//   - The rank beside the maker of the map, who is the planner that planned it, is
+//     armed last and by the sidecar of another rank, which remembers that. So a
+//     planner that takes over knows, while the maker's machine stands still, whether
+//     the switch can be undone or has to go on.
 //   - Orders name the formation of the group. A new one has forgotten all.
 //
 // # Notation
--- a/group/place_test.go
+++ b/group/place_test.go
@@ -294,8 +294,8 @@
 func TestMapNumbersNameTheirOwner(t *testing.T) {
 	for self := range foxtailstack.Rank(5) {
 		for above := range foxtailstack.Epoch(20) {
-			next := nextOwned(above, self, 5)
-			if next <= above || next > above+5 || owner(next, 5) != self {
+			next := nextMade(above, self, 5)
+			if next <= above || next > above+5 || maker(next, 5) != self {
 				t.Errorf("map %d after %d for rank %d", next, above, self)
 			}
 		}
--- a/group/planner.go
+++ b/group/planner.go
@@ -256,7 +256,7 @@
 		return nil
 	}
 	p.changed = time.Now()
-	p.tried = nextOwned(p.tried, p.Self, len(survey.Reports))
+	p.tried = nextMade(p.tried, p.Self, len(survey.Reports))
 	version := p.tried
 	began := time.Now()
 	err := s.prepare(ctx, version, plan.layers, newPatch(p.version, shape.Experts, p.layers, plan.layers))
--- a/group/survey.go
+++ b/group/survey.go
@@ -138,7 +138,7 @@
 	if !prepared || isArmed && armed != version {
 		return 0, false
 	}
-	return version, owner(version, len(s.Reports)+1) == missing
+	return version, maker(version, len(s.Reports)+1) == missing
 }
 
 // makerUnarmed reports whether the silent rank of a map's maker is surely not
--- a/group/switch.go
+++ b/group/switch.go
@@ -185,16 +185,16 @@
 	}
 }
 
-// owner returns the rank beside the planner that made a map. Maps are numbered
+// maker returns the rank beside the planner that made a map. Maps are numbered
 // so that this can be told from the number.
-func owner(version foxtailstack.Epoch, size int) foxtailstack.Rank {
+func maker(version foxtailstack.Epoch, size int) foxtailstack.Rank {
 	return foxtailstack.Rank(uint64(version) % uint64(size))
 }
 
-// nextOwned returns the lowest number above another for a map made beside a rank.
-func nextOwned(above foxtailstack.Epoch, self foxtailstack.Rank, size int) foxtailstack.Epoch {
+// nextMade returns the lowest number above another for a map made beside a rank.
+func nextMade(above foxtailstack.Epoch, self foxtailstack.Rank, size int) foxtailstack.Epoch {
 	next := above + 1
-	for owner(next, size) != self {
+	for maker(next, size) != self {
 		next++
 	}
 	return next
@@ -213,7 +213,7 @@
 	armed := func(r Report) bool {
 		return r.Armed && r.ArmedMap == version && r.ArmedStep == step || r.Map == version
 	}
-	last := owner(version, len(s.members))
+	last := maker(version, len(s.members))
 	err := s.each(ctx, s.allBut(last), order, armed)
 	if err != nil {
 		return err
--- a/group/witness.go
+++ b/group/witness.go
@@ -136,12 +136,17 @@
 
 // vouch has the sidecars of other ranks, one after the other, order the rank
 // beside a map's maker to arm, until its report shows that it has.
-func (s *switcher) vouch(ctx context.Context, order Order, maker foxtailstack.Rank, armed func(Report) bool) error {
+func (s *switcher) vouch(
+	ctx context.Context,
+	order Order,
+	last foxtailstack.Rank,
+	armed func(Report) bool,
+) error {
 	order.Fence = s.fence
 	order.Formation = s.formation
-	target := s.members[maker]
+	target := s.members[last]
 	for {
-		for _, rank := range s.others(maker) {
+		for _, rank := range s.others(last) {
 			voucher, ok := s.members[rank].(Voucher)
 			if !ok {
 				continue
