--- a/dispatch/herd_test.go
+++ b/dispatch/herd_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,14 +80,19 @@
 // leastChooser takes the rank with the least requests: those told last and those
 // that the entry has sent since.
 type leastChooser struct {
+	mu   sync.Mutex
 	load [herdRanks]int
 }
 
 func (c *leastChooser) told(running []int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	copy(c.load[:], running)
 }
 
 func (c *leastChooser) send(*testing.T) (int, func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	start := rand.IntN(herdRanks)
 	least := start
 	for i := range herdRanks {
@@ -103,12 +109,15 @@
 // rank without a free slot.
 func playHerd(t *testing.T, seed uint64, choosers []chooser) int {
 	rng := rand.New(rand.NewPCG(seed, 2))
+	var mu sync.Mutex // guards running, which timers change
 	running := make([]int, herdRanks)
 	full := 0
 	next := time.Now()
 	for began := time.Now(); time.Since(began) < herdTime; {
 		if !time.Now().Before(next) {
+			mu.Lock()
 			said := append([]int(nil), running...)
+			mu.Unlock()
 			time.AfterFunc(herdAge, func() {
 				for _, c := range choosers {
 					c.told(said)
@@ -117,12 +126,16 @@
 			next = next.Add(herdTold)
 		}
 		rank, done := choosers[rng.IntN(len(choosers))].send(t)
+		mu.Lock()
 		if running[rank] >= herdSlots {
 			full++
 		}
 		running[rank]++
+		mu.Unlock()
 		time.AfterFunc(herdLasts, func() {
+			mu.Lock()
 			running[rank]--
+			mu.Unlock()
 			done()
 		})
 		time.Sleep(time.Duration(rng.ExpFloat64() * float64(time.Second) / herdRate))
