Do not take an empty list of instances for an empty fleet

It had read the list right after that emptied, and counted nobody but itself until others reported. A list that does not name the process itself leaves the number of known processes as it was.

--- a/fleet/list.go
+++ b/fleet/list.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/internal/clock"
 )
 
@@ -68,9 +70,7 @@
 	defer cancel()
 	list, err := s.List.Instances(ctx)
 	if err == nil {
-		p := newPlan(s.Self, list)
-		s.plan.Store(&p)
-		s.peak.Store(0)
+		s.adopt(list)
 		return
 	}
 	if s.plan.Load() == nil {
@@ -81,3 +81,17 @@
 		})
 	}
 }
+
+// adopt makes a new plan by a list. One that does not name this process tells
+// nothing of others either: those known before go on counting.
+func (s *Spreader) adopt(list []foxtailstack.Instance) {
+	p := newPlan(s.Self, list)
+	named := slices.ContainsFunc(list, func(i foxtailstack.Instance) bool { return i.Name == s.Self.Name })
+	if !named {
+		s.raisePeak(s.planned().listed)
+		s.plan.Store(&p)
+		return
+	}
+	s.plan.Store(&p)
+	s.peak.Store(0)
+}
--- a/fleet/spread.go
+++ b/fleet/spread.go
@@ -277,11 +277,16 @@
 // counts returns the revisions in force in the whole system.
 func (s *Spreader) counts() []Count {
 	counts := s.census.total(s.Replica.Snapshot().Revision, s.planned().poll)
-	total := int64(statusOf(counts, 0, 0).Total)
+	s.raisePeak(statusOf(counts, 0, 0).Total)
+	return counts
+}
+
+// raisePeak records that so many processes are known.
+func (s *Spreader) raisePeak(n int) {
+	total := int64(n)
 	for peak := s.peak.Load(); total > peak && !s.peak.CompareAndSwap(peak, total); {
 		peak = s.peak.Load()
 	}
-	return counts
 }
 
 // jitter returns a random time around d, within a quarter of it.
