Count a process once while it takes the place of a dead poller

A follower that becomes a poller was counted twice in three ways: it answered the summary of a peer that had read the list before it, as a settled root; between its own read of the list and its change of state it still held itself for settled; and, once changed, it added itself to what the other roots told of it. Since such a sum is compared with the number known, it can hide a process that lacks the revision. Ruled out: the killed entry itself, whose summary had an older revision; the change that no longer believes an empty list, which only raises the number known. Now only a root by its own plan gives a summary, the change of plan unsettles it before the plan can be seen, and an unsettled poller does not count itself beside others.

--- a/fleet/census.go
+++ b/fleet/census.go
@@ -115,25 +115,37 @@
 	return merge(all)
 }
 
-// total returns the counts of the whole system, as far as they are known.
-func (c *census) total(own foxtailstack.Revision, root bool) []Count {
+// total returns the counts of the whole system as a process that follows another
+// knows them.
+func (c *census) total(own foxtailstack.Revision) []Count {
 	all := c.subtree(own)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !root {
-		if time.Since(c.above.at) < reportLife {
-			return c.above.counts
-		}
-		return all
+	if time.Since(c.above.at) < reportLife {
+		return c.above.counts
 	}
+	return all
+}
+
+// rootTotal returns the counts of the whole system as a poller knows them. One that
+// has not settled may be counted by the other roots still, so that it counts what
+// they tell and not itself.
+func (c *census) rootTotal(own foxtailstack.Revision, settled bool) []Count {
+	all := c.subtree(own)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var others []Count
 	for name, other := range c.roots {
 		if time.Since(other.at) >= summaryLife {
 			delete(c.roots, name)
 			continue
 		}
-		all = append(all, other.counts...)
+		others = append(others, other.counts...)
 	}
-	return merge(all)
+	if !settled && len(others) > 0 {
+		return merge(others)
+	}
+	return merge(append(all, others...))
 }
 
 // merge adds up counts by revision, the highest first. Beyond maxCounts, the
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -53,10 +53,10 @@
 }
 
 // summary returns what is in force below this root, or nothing while the process
-// may still be counted elsewhere.
+// may still be counted elsewhere, also by a peer that takes it for a root already.
 func (s *Spreader) summary() summary {
 	message := summary{Instance: s.Self.Name}
-	if s.settled() {
+	if s.planned().root && s.settled() {
 		message.Counts = s.census.subtree(s.Replica.Snapshot().Revision)
 	}
 	return message
--- a/fleet/list.go
+++ b/fleet/list.go
@@ -86,6 +86,9 @@
 // nothing of others either: those known before go on counting.
 func (s *Spreader) adopt(list []foxtailstack.Instance) {
 	p := newPlan(s.Self, list)
+	if p.root != s.planned().root {
+		s.move() // before anybody can see the new plan
+	}
 	named := slices.ContainsFunc(list, func(i foxtailstack.Instance) bool { return i.Name == s.Self.Name })
 	if !named {
 		s.raisePeak(s.planned().listed)
--- a/fleet/spread.go
+++ b/fleet/spread.go
@@ -276,7 +276,10 @@
 
 // counts returns the revisions in force in the whole system.
 func (s *Spreader) counts() []Count {
-	counts := s.census.total(s.Replica.Snapshot().Revision, s.planned().poll)
+	counts := s.census.total(s.Replica.Snapshot().Revision)
+	if s.planned().poll {
+		counts = s.census.rootTotal(s.Replica.Snapshot().Revision, s.settled())
+	}
 	s.raisePeak(statusOf(counts, 0, 0).Total)
 	return counts
 }
