Send nothing to a slow rank while others are full

All other ranks were full, so that the slow one, the only one with free slots, got as many requests as they did (14 of 14 to 48), and what it reads and writes lengthens every pass. Ruled out: the expert map, whose planned skew was under 1.18 by pace within 1 s. A rank whose pace is 1.5 or more gets nothing while at most a third of the ranks are slow; requests wait for the others. Test: TestBoardWaitsForFastRank, which failed (8 of 6 requests were sent).

--- a/dispatch/board_test.go
+++ b/dispatch/board_test.go
@@ -80,6 +80,67 @@
 	})
 }
 
+// Pattern: one rank of a group is slow and all others are full. What it had to do
+// would make every pass of the group longer, so that requests wait for the others.
+func TestBoardWaitsForFastRank(t *testing.T) {
+	tell := func(b *dispatch.Board, paces ...float64) {
+		ranks := make(map[foxtailstack.Address]dispatch.RankLoad, len(paces))
+		for i, pace := range paces {
+			ranks[foxtailstack.Address(fmt.Sprintf("10.0.0.%d:1", i))] = dispatch.RankLoad{Pace: pace}
+		}
+		b.TellGroup(service, groupName, ranks, 0)
+	}
+	fill := func(t *testing.T, b *dispatch.Board) int {
+		ask := dispatch.Ask{
+			Service: service,
+			Grouped: true,
+		}
+		for n := 0; ; n++ {
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			_, err := b.Acquire(ctx, ask)
+			cancel()
+			if err != nil {
+				return n
+			}
+		}
+	}
+	for _, test := range []struct {
+		name  string
+		paces []float64
+		want  int
+	}{
+		{
+			name:  "one is slow",
+			paces: []float64{4, 1, 1, 1},
+			want:  6,
+		},
+		{
+			name:  "one is a little slow",
+			paces: []float64{1.2, 1, 1, 1},
+			want:  8,
+		},
+		{
+			name:  "most are slow",
+			paces: []float64{4, 4, 4, 1},
+			want:  8,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBoard(4, 2)
+				tell(b, test.paces...)
+				if got := fill(t, b); got != test.want {
+					t.Errorf("%d requests were sent, want %d", got, test.want)
+				}
+				time.Sleep(2 * time.Second) // nobody says so any more
+				if got := fill(t, b) > 0; got != (test.want < 8) {
+					t.Errorf("the rank is used again: %t", got)
+				}
+			})
+		})
+	}
+}
+
 // Pattern: the machine of a rank stands still. Requests sent there would reach it
 // when it wakes, after their callers have left.
 func TestBoardLeavesSilentRank(t *testing.T) {
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -18,6 +18,22 @@
 	Pace float64
 }
 
+// slow reports whether requests of the rank's own would slow the group down.
+func (r RankLoad) slow() bool {
+	return r.Pace >= slowPace
+}
+
+// countSlow returns the number of slow ranks.
+func countSlow(ranks map[foxtailstack.Address]RankLoad) int {
+	n := 0
+	for _, rank := range ranks {
+		if rank.slow() {
+			n++
+		}
+	}
+	return n
+}
+
 // TellGroup records the load of the ranks of a group behind a service, by address,
 // as it was some time ago.
 func (b *Board) TellGroup(
@@ -33,6 +49,7 @@
 	ready := b.Fleet().Ready(service)
 	silent := b.silentRanks(ready, group, ranks)
 	few := len(silent) <= len(ready)/maxSilentPart
+	fewSlow := countSlow(ranks) <= len(ranks)/maxSlowPart
 	for _, u := range ready {
 		p := b.peer(u.Name)
 		rank, ok := ranks[u.Address]
@@ -45,6 +62,10 @@
 		p.group = group
 		p.silent = time.Time{}
 		p.pace = rank.Pace
+		p.slow = time.Time{}
+		if fewSlow && rank.slow() {
+			p.slow = now.Add(loadLife)
+		}
 		p.tell(&rank.Load, at)
 	}
 }
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -29,6 +29,10 @@
 	// maxSilentPart is the part of the ranks, one in so many, beyond which silence
 	// is taken for a fault of the planner's.
 	maxSilentPart = 3
+	// slowPace is the pace from which a rank gets nothing, and maxSlowPart the part
+	// of the ranks, one in so many, beyond which the slow ones are needed.
+	slowPace    = 1.5
+	maxSlowPart = 3
 	// tookWeight is the weight of the newest time in the usual time.
 	tookWeight = 0.15
 )
@@ -53,6 +57,8 @@
 	failing float64
 	// silent is until when a rank that does not answer the planner gets nothing.
 	silent time.Time
+	// slow is until when a slow rank gets nothing.
+	slow time.Time
 	// pace is over one for a slow rank of a group; zero if not known.
 	pace float64
 	// took is the usual time of a request in seconds; zero if not known.
@@ -95,6 +101,11 @@
 	return p.slots > 0 && p.load(now) > float64(p.slots)-1
 }
 
+// fit reports whether a rank may get a request.
+func (p *peer) fit(now time.Time) bool {
+	return !p.busy(now) && !now.Before(p.silent) && !now.Before(p.slow)
+}
+
 // avoided reports whether the upstream should not be used now.
 func (p *peer) avoided(now time.Time) bool {
 	return now.Before(p.shunned) || now.Before(p.full)
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -13,10 +13,10 @@
 // there is none it returns nil, and how long gates keep the request from some.
 //
 // Those that are avoided come last. Ranks whose slots are all taken get nothing,
-// since what waits there makes all late that comes after it, and those that do not
-// answer the planner get nothing either. Of the ranks of a group only a few are
-// drawn by chance: all entries are told the same loads at the same time, and would
-// all send to the ranks with the least. The caller holds mu.
+// since what waits there makes all late that comes after it, and those that are slow
+// or do not answer the planner get nothing either. Of the ranks of a group only a few
+// are drawn by chance: all entries are told the same loads at the same time, and
+// would all send to the ranks with the least. The caller holds mu.
 func (b *Board) pick(ask *Ask, now time.Time) (*Ticket, time.Duration) {
 	q := b.queue(ask.Service)
 	shut := time.Duration(0)
@@ -34,7 +34,7 @@
 		}
 		p := b.peer(u.Name)
 		p.slots = u.Slots
-		if ask.Grouped && (p.busy(now) || now.Before(p.silent)) {
+		if ask.Grouped && !p.fit(now) {
 			continue
 		}
 		_, wait := q.gate(p.group).check(now)
