Share the free slots of a full group among entries, and serve the newest on time

Every entry with a backlog is told of the same free slots at the same time, and sent for all of them; 365 requests waited at ranks until their callers left. The queue then served those about to be lost first and, of those that could be on time, the oldest, so that under lasting overload each was served just too late. Ruled out: old reports (they came within 0.4 s), the slow rank (it got nothing). Now an entry takes its own part of the slots that were free, by its part of the requests at the group, rounded by chance, and may refill what its own requests leave. Those that can be on time go first, the newest of them before the others.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -71,7 +71,13 @@
 func (b *Board) Tell(name foxtailstack.UpstreamName, load *exchange.Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peer(name).tell(load, time.Now())
+	p := b.peer(name)
+	share := 1.0
+	u, ok := b.Fleet().Lookup(name)
+	if ok && p.group != "" {
+		share = b.queue(u.Service).stake(p.group).share()
+	}
+	p.tell(load, time.Now(), share)
 }
 
 // Changed tells that the fleet has changed.
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -49,6 +49,8 @@
 	ready := b.Fleet().Ready(service)
 	silent := b.silentRanks(ready, group, ranks)
 	few := len(silent) <= len(ready)/maxSilentPart
+	stake := b.queue(service).stake(group)
+	stake.learn(b.count(ready, ranks, at))
 	fewSlow := countSlow(ranks) <= len(ranks)/maxSlowPart
 	for _, u := range ready {
 		p := b.peer(u.Name)
@@ -66,10 +68,30 @@
 		if fewSlow && rank.slow() {
 			p.slow = now.Add(loadLife)
 		}
-		p.tell(&rank.Load, at)
+		p.slots = u.Slots
+		p.tell(&rank.Load, at, stake.share())
 	}
 }
 
+// count returns how many requests of this process the ranks had at a time, and how
+// many in all. The caller holds mu.
+func (b *Board) count(
+	ready []route.Upstream,
+	ranks map[foxtailstack.Address]RankLoad,
+	at time.Time,
+) (own, all int) {
+	for _, u := range ready {
+		rank, ok := ranks[u.Address]
+		if !ok {
+			continue
+		}
+		p := b.peer(u.Name)
+		own += p.past.at(at, p.running)
+		all += rank.Load.Running + rank.Load.Waiting
+	}
+	return own, all
+}
+
 // silentRanks returns the upstreams of a group that have not said anything. If no
 // other group is known, those whose group is not known are taken for its ranks. The
 // caller holds mu.
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -45,8 +45,11 @@
 	// running is the number of this process's requests there, and past what it was.
 	running int
 	past    past
-	// others is the number of requests of other processes at told.
+	// others is the number of requests of other processes at told, and own that of
+	// this process; room is by how much the latter may have risen.
 	others int
+	own    int
+	room   int
 	told   time.Time
 	// shunned and full are until when the upstream is avoided.
 	shunned time.Time
@@ -96,9 +99,16 @@
 	return cost
 }
 
-// busy reports whether all slots are taken, as far as known.
+// busy reports whether all slots are taken, as far as known, or all of this
+// process's part of those that were free.
 func (p *peer) busy(now time.Time) bool {
-	return p.slots > 0 && p.load(now) > float64(p.slots)-1
+	if p.slots == 0 {
+		return false
+	}
+	if now.Sub(p.told) < loadLife && p.running-p.own >= p.room {
+		return true
+	}
+	return p.load(now) > float64(p.slots)-1
 }
 
 // fit reports whether a rank may get a request.
@@ -111,13 +121,17 @@
 	return now.Before(p.shunned) || now.Before(p.full)
 }
 
-// tell records what the upstream said of its load at a time. This process's
-// requests of that time are among those, not the present ones.
-func (p *peer) tell(load *exchange.Load, at time.Time) {
+// tell records what the upstream said of its load at a time, of whose free slots
+// this process may take a share. This process's requests of that time are among
+// those, not the present ones.
+func (p *peer) tell(load *exchange.Load, at time.Time, share float64) {
 	if load == nil || at.Before(p.told) {
 		return
 	}
-	p.others = max(0, load.Running+load.Waiting-p.past.at(at, p.running))
+	all := load.Running + load.Waiting
+	p.own = p.past.at(at, p.running)
+	p.others = max(0, all-p.own)
+	p.room = portion(p.slots-all, share)
 	p.told = at
 }
 
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -45,6 +45,8 @@
 	// gates are those of its groups. Upstreams whose group is not known share that
 	// of the empty name.
 	gates map[GroupName]*gate
+	// stakes are those of its groups.
+	stakes map[GroupName]*stake
 	// shut tells that only gates kept a request from being sent.
 	shut  bool
 	pulse pulse
@@ -71,18 +73,19 @@
 	}
 }
 
-// order returns those that wait in the order in which they are served: first
-// those whose time would soon be too short, then those that can still be on
-// time, then those that are late anyway. So a backlog of late requests does not
-// make all that follow late too, and none is lost while it could be served.
-// Among either the urgent go first, then those that have waited longest.
+// order returns those that wait in the order in which they are served: first those
+// that can still be on time, then those whose time would soon be too short, then
+// those that are late anyway. So a backlog of late requests does not make all that
+// follow late too. Among each the urgent go first. Of those that can be on time the
+// newest come next: while more come than can be served, the oldest would each be
+// served just too late. Of the others it is those that have waited longest.
 func (q *queue) order(now time.Time) []*waiter {
 	ordered := slices.Clone(q.waiting)
 	slices.SortStableFunc(ordered, func(a, b *waiter) int {
 		return cmp.Or(
 			cmp.Compare(a.turn(now), b.turn(now)),
 			cmp.Compare(a.ask.Urgency, b.ask.Urgency),
-			a.since.Compare(b.since),
+			a.after(b, now),
 		)
 	})
 	return ordered
@@ -92,8 +95,8 @@
 type turn uint8
 
 const (
-	turnLast turn = iota
-	turnFresh
+	turnFresh turn = iota
+	turnLast
 	turnLate
 )
 
@@ -109,6 +112,15 @@
 	}
 }
 
+// after returns whether a waiter comes after another of the same turn, as a number
+// above zero.
+func (w *waiter) after(other *waiter, now time.Time) int {
+	if w.turn(now) == turnFresh {
+		return other.since.Compare(w.since)
+	}
+	return w.since.Compare(other.since)
+}
+
 // late reports whether the answer will come late even if it begins now.
 func (w *waiter) late(now time.Time) bool {
 	return passed(w.ask.Fresh, now)
@@ -127,6 +139,19 @@
 	return g
 }
 
+// stake returns this process's stake in a group.
+func (q *queue) stake(group GroupName) *stake {
+	if q.stakes == nil {
+		q.stakes = make(map[GroupName]*stake)
+	}
+	s, ok := q.stakes[group]
+	if !ok {
+		s = &stake{}
+		q.stakes[group] = s
+	}
+	return s
+}
+
 // count counts a ticket for the rate.
 func (q *queue) count(now time.Time) {
 	age := now.Sub(q.began)
--- /dev/null
+++ b/dispatch/stake_test.go
@@ -0,0 +1,114 @@
+package dispatch_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/dispatch"
+	"github.com/foxtailstack/foxtailstack/exchange"
+)
+
+// Pattern: all ranks of a group are nearly full and requests wait at all entries,
+// which are told of the same free slots at the same time. Together they send little
+// more than there is room for, and not as much each.
+func TestEntriesShareFreeSlots(t *testing.T) {
+	const (
+		entries = 12
+		ranks   = 60
+		slots   = 12
+		taken   = 11
+		each    = 4 // requests that wait at an entry for each free slot of the group
+	)
+	synctest.Test(t, func(t *testing.T) {
+		boards := make([]*dispatch.Board, entries)
+		for i := range boards {
+			boards[i] = newBoard(ranks, slots)
+			for range ranks * taken / entries {
+				take(t, boards[i], dispatch.Ask{Grouped: true})
+			}
+		}
+		tell := func() {
+			for _, b := range boards {
+				loads := make(map[foxtailstack.Address]dispatch.RankLoad, ranks)
+				for i := range ranks {
+					loads[herdAddress(i)] = dispatch.RankLoad{
+						Load: exchange.Load{Running: taken},
+						Pace: 1,
+					}
+				}
+				b.TellGroup(service, groupName, loads, 0)
+			}
+		}
+		for range 40 { // until each knows its part
+			tell()
+			time.Sleep(200 * time.Millisecond)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		sent := make(chan bool, entries*ranks*each)
+		tell()
+		for _, b := range boards {
+			for range ranks * each {
+				go func() {
+					ask := dispatch.Ask{
+						Service: service,
+						Grouped: true,
+					}
+					_, err := b.Acquire(ctx, ask)
+					sent <- err == nil
+				}()
+			}
+		}
+		got := 0
+		for range entries * ranks * each {
+			if <-sent {
+				got++
+			}
+		}
+		free := ranks * (slots - taken)
+		if got < free/2 || got > 2*free {
+			t.Errorf("%d requests were sent for %d free slots", got, free)
+		}
+	})
+}
+
+// A process that has nothing at a group yet gets its part of it as time goes on.
+func TestNewEntryGetsItsPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const ranks, slots = 10, 10
+		b := newBoard(ranks, slots)
+		others := 90 // requests of other entries, which give way as this one sends
+		own := 0
+		for range 50 {
+			loads := make(map[foxtailstack.Address]dispatch.RankLoad, ranks)
+			for i := range ranks {
+				loads[herdAddress(i)] = dispatch.RankLoad{
+					Load: exchange.Load{Running: (others + own) / ranks},
+					Pace: 1,
+				}
+			}
+			b.TellGroup(service, groupName, loads, 0)
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			for {
+				ask := dispatch.Ask{
+					Service: service,
+					Grouped: true,
+				}
+				_, err := b.Acquire(ctx, ask)
+				if err != nil {
+					break
+				}
+				own++
+			}
+			cancel()
+			others = min(others, 90-own)
+			time.Sleep(200 * time.Millisecond)
+		}
+		if own < 10 {
+			t.Errorf("after 10 s a new entry has %d requests at a group with 10 free slots", own)
+		}
+	})
+}
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -57,6 +57,7 @@
 	"route":    Route,
 	"expert":   Expert,
 	"maps":     Maps,
+	"ranks":    Ranks,
 }
 
 // Names returns the names of all experiments in order.
--- a/measure/path.go
+++ b/measure/path.go
@@ -36,8 +36,8 @@
 // errPath means that a call did not get its whole answer.
 var errPath = errors.New("answer is not whole")
 
-// exchange makes one call.
-type exchange func(ctx context.Context) error
+// callFunc makes one call.
+type callFunc func(ctx context.Context) error
 
 // Path measures what the way through an entry and a sidecar adds to a direct
 // call of the engine. All processes share one on loopback. Each line holds, for
@@ -78,7 +78,7 @@
 func pathLine(ctx context.Context, system *demo.System, floors *floors, stream bool, n int, d time.Duration) (Line, error) {
 	direct := newCaller(system.Engines[0].EngineURL()+"/v1/completions", stream, n)
 	through := newCaller(system.URL(demo.ServiceDraft), stream, n)
-	ways := []exchange{direct.call, through.call, floors.http, floors.quic}
+	ways := []callFunc{direct.call, through.call, floors.http, floors.quic}
 	results := make([]run, len(ways))
 	for i, way := range ways {
 		result, err := drive(ctx, way, n, d)
@@ -135,7 +135,7 @@
 }
 
 // drive has n callers make calls for a time, after a first one each.
-func drive(ctx context.Context, call exchange, n int, d time.Duration) (run, error) {
+func drive(ctx context.Context, call callFunc, n int, d time.Duration) (run, error) {
 	var mu sync.Mutex
 	var result run
 	var errs []error
--- a/measure/plot.go
+++ b/measure/plot.go
@@ -38,6 +38,10 @@
 		X: "load",
 		Y: "p99",
 	},
+	"ranks": {
+		X: "load",
+		Y: "ontime_share",
+	},
 	"overload": {
 		X: "load",
 		Y: "goodput",
