Answer at once a retry that no ready upstream suits

Now a request that may go to none of the ready upstreams is told so at once, also when the last one leaves while it waits, and gets the answer of the upstream. Ruled out: waiting for a new upstream is of use; none came within the request's time. Tests: TestBoardRefusesWhatNoUpstreamSuits and TestBoardRefusesOnceNoUpstreamSuits, which waited for ever; a case of TestVerdict.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -21,7 +21,8 @@
 }
 
 // Acquire returns a ticket, after waiting for one if need be. It returns
-// ErrCrowded as soon as it is known that the request cannot be served in time.
+// ErrCrowded as soon as it is known that the request cannot be served in time, and
+// ErrNoUpstream if it may go to none of the upstreams that are ready.
 func (b *Board) Acquire(ctx context.Context, ask Ask) (*Ticket, error) {
 	w := &waiter{
 		ask:     ask,
@@ -54,7 +55,7 @@
 func (b *Board) enqueue(w *waiter) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.Fleet().Ready(w.ask.Service)) == 0 {
+	if !b.suits(&w.ask) {
 		return ErrNoUpstream
 	}
 	q := b.queue(w.ask.Service)
@@ -67,6 +68,17 @@
 	return nil
 }
 
+// suits reports whether the request may go to some upstream that is ready, now or
+// once it has room. The caller holds mu.
+func (b *Board) suits(ask *Ask) bool {
+	for _, u := range b.Fleet().Ready(ask.Service) {
+		if ask.allows(u.Name) {
+			return true
+		}
+	}
+	return false
+}
+
 // Tell records what an upstream said of its load.
 func (b *Board) Tell(name foxtailstack.UpstreamName, load *exchange.Load) {
 	b.mu.Lock()
@@ -109,6 +121,11 @@
 			w.granted <- grant{err: q.crowded(now)}
 			continue
 		}
+		if len(w.ask.Avoid) > 0 && !b.suits(&w.ask) {
+			q.remove(w)
+			w.granted <- grant{err: ErrNoUpstream}
+			continue
+		}
 		t, wait := b.pick(&w.ask, now)
 		q.shut = wait > 0
 		if t == nil {
--- a/dispatch/board_test.go
+++ b/dispatch/board_test.go
@@ -379,6 +379,51 @@
 	})
 }
 
+// Pattern: an upstream has failed a request, and no other is ready. Its caller is
+// answered at once and does not wait for one that may never come.
+func TestBoardRefusesWhatNoUpstreamSuits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBoard(1, 4)
+		ask := dispatch.Ask{
+			Service: service,
+			Avoid:   map[foxtailstack.UpstreamName]bool{"u0": true},
+		}
+		began := time.Now()
+		_, err := b.Acquire(t.Context(), ask)
+		if !errors.Is(err, dispatch.ErrNoUpstream) || time.Since(began) > 0 {
+			t.Errorf("after %s: %v, want %v at once", time.Since(began), err, dispatch.ErrNoUpstream)
+		}
+	})
+}
+
+// The last upstream that a request may go to leaves while it waits.
+func TestBoardRefusesOnceNoUpstreamSuits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBoard(2, 1)
+		full := b.Fleet()
+		for range 2 {
+			take(t, b, dispatch.Ask{Grouped: true})
+		}
+		failed := make(chan error, 1)
+		go func() {
+			_, err := b.Acquire(t.Context(), dispatch.Ask{
+				Service: service,
+				Grouped: true,
+				Avoid:   map[foxtailstack.UpstreamName]bool{"u0": true},
+			})
+			failed <- err
+		}()
+		synctest.Wait()
+		rest := route.NewFleet(2, full.Ready(service)[:1])
+		b.Fleet = func() *route.Fleet { return rest }
+		b.Changed()
+		err := <-failed
+		if !errors.Is(err, dispatch.ErrNoUpstream) {
+			t.Errorf("%v, want %v", err, dispatch.ErrNoUpstream)
+		}
+	})
+}
+
 func TestBoardWithoutUpstreams(t *testing.T) {
 	b := newBoard(0, 0)
 	_, err := b.Acquire(t.Context(), dispatch.Ask{Service: service})
--- a/explain/verdict.go
+++ b/explain/verdict.go
@@ -54,6 +54,8 @@
 	case first == 0 && took >= patience:
 		return fmt.Sprintf("The caller left when nothing had come for %s: it waited %s for an upstream and %s at the last one.",
 			took, waited, took-waited)
+	case first == 0 && waited > took/2:
+		return fmt.Sprintf("The caller left after %s, of which the request waited %s for an upstream.", took, waited)
 	default:
 		return fmt.Sprintf("The caller left after %s, before anything was late enough to leave for.", took)
 	}
--- a/explain/verdict_test.go
+++ b/explain/verdict_test.go
@@ -22,6 +22,10 @@
 			log:  "msg=request request=r reason=caller-left waited=0 first=0 gap=0 took=0.074",
 			want: "The caller left after 74ms, before anything was late enough to leave for.",
 		},
+		"left early, in the queue": {
+			log:  "msg=request request=r reason=caller-left waited=0.953 first=0 gap=0 took=1.011",
+			want: "The caller left after 1.011s, of which the request waited 953ms for an upstream.",
+		},
 		"group without a rank": {
 			log: "msg=\"attempt refused\" request=r culprit=10.0.0.1:1\n" +
 				"ts=2026-03-02T13:22:52.892Z msg=request request=r reason=upstreams-refused",
