Log what an entry believes of ranks and groups, and tell it in explain

Now a line tells that a rank turns silent or slow and back, with its pace and the age of the status, and that a group is broken and works again, with whom the refusal names. explain lists those of the request's service and says what they mean; what is void since the rank has gone, or over long before the request, is left out. The page of events and the test that compares it with the code cover dispatch/ too. Tests: TestTellTroubles, TestEventsAreDocumented.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -8,12 +8,16 @@
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/exchange"
 	"github.com/foxtailstack/foxtailstack/route"
+	"go.uber.org/zap"
 )
 
 // Board hands out tickets. It must not be copied after first use.
 type Board struct {
 	// Fleet returns the present list of upstreams.
 	Fleet func() *route.Fleet
+	// Log takes a line for each change of what is believed of ranks and groups; it
+	// may be nil.
+	Log *zap.Logger
 
 	mu       sync.Mutex
 	peers    map[foxtailstack.UpstreamName]*peer
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -57,17 +57,18 @@
 		rank, ok := ranks[u.Address]
 		if !ok {
 			if few && silent[u.Name] {
-				p.silent = now.Add(silentTime)
+				b.setSilent(&u, now.Add(silentTime), age)
 			}
 			continue
 		}
 		p.group = group
-		p.silent = time.Time{}
 		p.pace = rank.Pace
-		p.slow = time.Time{}
+		b.setSilent(&u, time.Time{}, age)
+		slow := time.Time{}
 		if fewSlow && rank.slow() {
-			p.slow = now.Add(loadLife)
+			slow = now.Add(loadLife)
 		}
+		b.setSlow(&u, slow, age)
 		p.slots = u.Slots
 		p.tell(&rank.Load, at, stake.share())
 	}
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -32,6 +32,8 @@
 	Outcome Outcome
 	// Took is the time until the answer; zero if it does not count.
 	Took time.Duration
+	// Culprit is the upstream that keeps a broken group from working, as far as told.
+	Culprit foxtailstack.UpstreamName
 }
 
 // Ticket is the right to send one request to one upstream.
@@ -66,9 +68,10 @@
 	case Moved:
 		p.shunned = now.Add(maxShun)
 	case Broken:
+		t.broken(report.Culprit)
 		t.gate.breakUntil(now.Add(probePause))
 	}
-	t.gate.ended(t.probe, report.Outcome, now)
+	t.ended(report.Outcome, now)
 	b.serve(q)
 }
 
@@ -79,7 +82,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	q := b.queue(t.service)
-	t.gate.ended(t.probe, Answered, time.Now())
+	t.ended(Answered, time.Now())
 	t.probe = false
 	b.serve(q)
 }
--- a/explain/story.go
+++ b/explain/story.go
@@ -36,6 +36,14 @@
 	"settings read again",
 }
 
+// overMessages are the messages of beliefs that a trouble is over. They tell nothing of
+// later requests.
+var overMessages = []string{
+	"rank answers again",
+	"rank no longer slow",
+	"group works again",
+}
+
 // groupMessages are the messages of lines about a group.
 var groupMessages = []string{
 	"demand shifted",
@@ -61,18 +69,22 @@
 		return story
 	}
 	first, last := story.Own[0], story.Own[len(story.Own)-1]
-	upstreams := make(map[string]bool)
+	subject := subject{
+		service:   last.Get("service"),
+		upstreams: make(map[string]bool),
+	}
 	for _, line := range story.Own {
-		upstreams[line.Get("upstream")] = true
+		subject.upstreams[line.Get("upstream")] = true
 	}
 	latest := make(map[string]Line)
 	for _, line := range lines {
 		switch {
 		case line.Instance == first.Instance && !line.At.After(last.At):
-			key, ok := beliefOf(line, upstreams)
+			key, ok := subject.belief(line)
 			if ok {
 				latest[key] = line
 			}
+			forget(latest, line)
 		case slices.Contains(groupMessages, line.Message) || strings.HasPrefix(line.Message, groupPrefix):
 			if line.At.After(first.At.Add(-before)) && !line.At.After(last.At) {
 				story.Group = append(story.Group, line)
@@ -80,24 +92,59 @@
 		}
 	}
 	for _, line := range latest {
-		story.Beliefs = append(story.Beliefs, line)
+		over := slices.Contains(overMessages, line.Message)
+		if !over || line.At.After(first.At.Add(-before)) {
+			story.Beliefs = append(story.Beliefs, line)
+		}
 	}
 	byTime(story.Beliefs)
 	byTime(story.Group)
 	return story
 }
 
-// beliefOf returns what a line is a belief of, if it is one.
-func beliefOf(line Line, upstreams map[string]bool) (string, bool) {
-	if slices.Contains(beliefMessages, line.Message) {
+// subject is what a request was about.
+type subject struct {
+	service   string
+	upstreams map[string]bool
+}
+
+// belief returns what a line is a belief of, if it is one that matters.
+func (s *subject) belief(line Line) (string, bool) {
+	service := line.Get("service")
+	switch {
+	case slices.Contains(beliefMessages, line.Message):
 		return line.Message + line.Get("table"), true
-	}
-	if strings.HasPrefix(line.Message, "upstream ") && line.Get("service") != "" && upstreams[line.Get("upstream")] {
+	case strings.HasPrefix(line.Message, "upstream ") && service != "" && s.upstreams[line.Get("upstream")]:
 		return "upstream " + line.Get("upstream"), true
+	case strings.HasPrefix(line.Message, "rank ") && service == s.service:
+		return rankBelief(line), true
+	case strings.HasPrefix(line.Message, "group ") && service != "" && service == s.service:
+		return "group " + line.Get("group"), true
 	}
 	return "", false
 }
 
+// forget drops what a line makes void: beliefs of a rank that has gone, and those of a
+// group that was not known yet once a group of the service works.
+func forget(latest map[string]Line, line Line) {
+	switch line.Message {
+	case "upstream gone":
+		delete(latest, "pace "+line.Get("upstream"))
+		delete(latest, "answers "+line.Get("upstream"))
+	case "group works again":
+		delete(latest, "group ")
+	}
+}
+
+// rankBelief returns what a line on a rank is a belief of: that it answers or that it
+// is slow.
+func rankBelief(line Line) string {
+	if strings.HasSuffix(line.Message, "slow") {
+		return "pace " + line.Get("upstream")
+	}
+	return "answers " + line.Get("upstream")
+}
+
 // byTime orders lines by their clocks.
 func byTime(lines []Line) {
 	sort.SliceStable(lines, func(i, j int) bool { return lines[i].At.Before(lines[j].At) })
@@ -114,11 +161,27 @@
 	write(&b, "What "+instance+" believed", s.Beliefs, instance)
 	write(&b, "What groups did meanwhile (~ placed by clock only)", s.Group, instance)
 	write(&b, "The request", s.Own, instance)
-	fmt.Fprintf(&b, "\n%s\n", verdict(s.Own))
+	fmt.Fprintf(&b, "\n%s%s\n", s.troubles(), verdict(s.Own))
 	_, err := io.WriteString(w, b.String())
 	return err
 }
 
+// troubles says what the entry knew to be wrong with the service's group.
+func (s *Story) troubles() string {
+	told := ""
+	for _, line := range s.Beliefs {
+		switch line.Message {
+		case "group broken":
+			told += "The group did not work: a rank had gone. Only one request at a time was sent, to try it.\n"
+		case "rank silent":
+			told += "Rank " + line.Get("upstream") + " did not answer the planner, and all others wait for it.\n"
+		case "rank slow":
+			told += "Rank " + line.Get("upstream") + " was slow, and each pass takes as long as the slowest.\n"
+		}
+	}
+	return told
+}
+
 // write writes lines under a title.
 func write(b *strings.Builder, title string, lines []Line, instance string) {
 	if len(lines) == 0 {
--- a/explain/story_test.go
+++ b/explain/story_test.go
@@ -54,6 +54,44 @@
 	}
 }
 
+// What the entry knew to be wrong with the ranks of the request's service is told, and
+// what was over long before, or concerns another service, is not.
+func TestTellTroubles(t *testing.T) {
+	const text = `ts=2026-03-02T13:22:40.000Z level=info msg="rank slow" instance=e1 service=s upstream=u1 pace=4
+ts=2026-03-02T13:22:41.000Z level=info msg="rank no longer slow" instance=e1 service=s upstream=u1 pace=1
+ts=2026-03-02T13:22:42.000Z level=info msg="rank silent" instance=e1 service=s upstream=u4
+ts=2026-03-02T13:22:42.100Z level=info msg="group broken" instance=e1 service=s culprit=u4
+ts=2026-03-02T13:22:42.900Z level=info msg="upstream gone" instance=e1 service=s upstream=u4
+ts=2026-03-02T13:22:44.000Z level=info msg="group works again" instance=e1 service=s group=g0
+ts=2026-03-02T13:22:45.000Z level=info msg="rank slow" instance=e1 service=s upstream=u2 pace=4
+ts=2026-03-02T13:22:46.000Z level=info msg="rank silent" instance=e1 service=other upstream=u9
+ts=2026-03-02T13:22:47.000Z level=info msg="group broken" instance=e1 service=s group=g0 culprit=u3
+ts=2026-03-02T13:22:48.000Z level=info msg=request instance=e1 request=r service=s reason=too-many-waiting
+`
+	lines, err := explain.Read(strings.NewReader(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got strings.Builder
+	err = explain.Tell("r", lines).Write(&got)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := `What e1 believed:
+   13:22:45.000 e1: rank slow service=s upstream=u2 pace=4
+   13:22:47.000 e1: group broken service=s group=g0 culprit=u3
+The request:
+   13:22:48.000 e1: request request=r service=s reason=too-many-waiting
+
+Rank u2 was slow, and each pass takes as long as the slowest.
+The group did not work: a rank had gone. Only one request at a time was sent, to try it.
+Not run: it could not have been served in its time. The caller was told when to come back.
+`
+	if diff := cmp.Diff(want, got.String()); diff != "" {
+		t.Errorf("story differs (-want +got):\n%s", diff)
+	}
+}
+
 func TestReadLeavesOtherLinesOut(t *testing.T) {
 	const text = "panic: something\n" +
 		"  1.25 node ts=2026-03-02T13:22:52.891Z level=info msg=\"two words\" instance=e1 request=r\n" +
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -105,7 +105,10 @@
 	default:
 		c.refusals++
 	}
-	ticket.Done(dispatch.Report{Outcome: outcome})
+	ticket.Done(dispatch.Report{
+		Outcome: outcome,
+		Culprit: in.Culprit,
+	})
 	c.gateway.Log.Info("attempt refused",
 		zap.String("request", string(c.request.ID)),
 		zap.String("upstream", string(ticket.Upstream.Name)),
--- a/logbook/events_test.go
+++ b/logbook/events_test.go
@@ -9,7 +9,7 @@
 )
 
 // message finds the messages of log lines in source files.
-var message = regexp.MustCompile(`(?:[lL]og\.(?:Info|Warn|Error|Debug)|logAttempt|logUpstream)\("([^"]+)"`)
+var message = regexp.MustCompile(`(?:[lL]og(?:ger\(\))?\.(?:Info|Warn|Error|Debug)|logAttempt|logUpstream)\("([^"]+)"`)
 
 // Every event that the processes on the platform's machines log stands in the
 // operators' page.
@@ -19,7 +19,7 @@
 		t.Fatal(err)
 	}
 	seen := 0
-	for _, folder := range []string{"gateway", "group", "watch", "machine"} {
+	for _, folder := range []string{"dispatch", "gateway", "group", "watch", "machine"} {
 		paths, err := filepath.Glob(filepath.Join("..", folder, "*.go"))
 		if err != nil {
 			t.Fatal(err)
--- a/machine/entry.go
+++ b/machine/entry.go
@@ -69,7 +69,10 @@
 		pool:     &exchange.Pool{},
 	}
 	e.view = newView(log)
-	e.board = &dispatch.Board{Fleet: e.view.Fleet}
+	e.board = &dispatch.Board{
+		Fleet: e.view.Fleet,
+		Log:   log,
+	}
 	e.view.Changed = e.board.Changed
 	e.gateway = &gateway.Gateway{
 		View:  e.view,
