Judge how many can be served by times at which requests wait

The rate that the wait was taken from counted the tickets of the last two seconds, also those in which nobody waited or the group was broken: it told what had come, not what could be served. Now it counts only while requests wait and a gate is open, is known after 0.5 s of that, and lives on for a second without waiters. explain says that a request was not expected to be served in time, which is what decided.

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -132,6 +132,9 @@
 		}
 		t, wait := b.pick(&w.ask, now)
 		q.shut = wait > 0
+		if q.shut {
+			q.restart(now)
+		}
 		if t == nil {
 			b.later(q, max(wait, retryPause))
 			continue
--- a/dispatch/board_test.go
+++ b/dispatch/board_test.go
@@ -282,6 +282,72 @@
 	}
 }
 
+// Pattern: few requests come for a while, then some at once. How few came before tells
+// nothing of how many can be served, so that none is refused.
+func TestBoardDoesNotJudgeByIdleTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBoard(1, 2)
+		for range 10 {
+			take(t, b, dispatch.Ask{Grouped: true}).Done(dispatch.Report{Outcome: dispatch.Answered})
+			time.Sleep(time.Second)
+		}
+		failed := make(chan error, 8)
+		for range cap(failed) {
+			go func() {
+				ticket, err := b.Acquire(t.Context(), dispatch.Ask{
+					Service: service,
+					Grouped: true,
+					Begins:  time.Now().Add(2 * time.Second),
+					First:   180 * time.Millisecond,
+				})
+				if err == nil {
+					time.Sleep(400 * time.Millisecond)
+					ticket.Done(dispatch.Report{Outcome: dispatch.Answered})
+				}
+				failed <- err
+			}()
+			synctest.Wait()
+		}
+		for range cap(failed) {
+			err := <-failed
+			if err != nil {
+				t.Errorf("a request that could be served: %v", err)
+			}
+		}
+	})
+}
+
+// Pattern: lasting overload. Once a backlog has told how many can be served, a request
+// that would wait for too long is refused at once.
+func TestBoardRefusesBehindBacklog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBoard(1, 1)
+		for range 30 { // each takes 0.4 s, so that the last would be served after 12 s
+			go func() {
+				ticket, err := b.Acquire(t.Context(), dispatch.Ask{
+					Service: service,
+					Grouped: true,
+				})
+				if err == nil {
+					time.Sleep(400 * time.Millisecond)
+					ticket.Done(dispatch.Report{Outcome: dispatch.Answered})
+				}
+			}()
+		}
+		time.Sleep(time.Second)
+		began := time.Now()
+		_, err := b.Acquire(t.Context(), dispatch.Ask{
+			Service: service,
+			Grouped: true,
+			Begins:  time.Now().Add(2 * time.Second),
+		})
+		if !errors.Is(err, dispatch.ErrCrowded) || time.Since(began) > 0 {
+			t.Errorf("after %s: %v, want %v at once", time.Since(began), err, dispatch.ErrCrowded)
+		}
+		time.Sleep(20 * time.Second)
+	})
+}
+
 // Pattern: a rank crashes and its group refuses everything until it opens anew.
 // One request at a time finds out; the others wait and go once it works.
 func TestBoardProbesBrokenGroup(t *testing.T) {
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -11,8 +11,11 @@
 	retryPause = 25 * time.Millisecond
 	// rescueTime is how long before a request's time gets too short it goes first.
 	rescueTime = 300 * time.Millisecond
-	// rateWindow is the time over which the rate of a queue is taken.
-	rateWindow = 2 * time.Second
+	// rateWindow is the time over which the rate of a queue is taken, and firstWindow
+	// that after which it is known. It lives on for rateLife while nobody waits.
+	rateWindow  = 2 * time.Second
+	firstWindow = 500 * time.Millisecond
+	rateLife    = time.Second
 )
 
 // waiter is a request that waits for a ticket.
@@ -53,15 +56,21 @@
 	// timer serves the queue when it is due; nil if none is set.
 	timer *time.Timer
 	due   time.Time
-	// granted counts the tickets since began, and rate is their number a second
-	// in the window before.
+	// granted counts the tickets since began, and rate is their number a second in
+	// the window before, or zero. They count only while some wait and a gate is open:
+	// at other times they tell what came, not what could be served.
 	granted int
 	began   time.Time
 	rate    float64
+	// emptied is when the last waiter went.
+	emptied time.Time
 }
 
 // add puts a waiter into the queue.
 func (q *queue) add(w *waiter) {
+	if len(q.waiting) == 0 {
+		q.resume(w.since)
+	}
 	q.waiting = append(q.waiting, w)
 }
 
@@ -71,6 +80,9 @@
 	if at >= 0 {
 		q.waiting = slices.Delete(q.waiting, at, at+1)
 	}
+	if len(q.waiting) == 0 {
+		q.emptied = time.Now()
+	}
 }
 
 // order returns those that wait in the order in which they are served: first those
@@ -152,6 +164,23 @@
 	return s
 }
 
+// resume goes on with the rate after nobody has waited, if that was a short while.
+func (q *queue) resume(now time.Time) {
+	idle := now.Sub(q.emptied)
+	if idle > rateLife {
+		q.restart(now)
+		return
+	}
+	q.began = q.began.Add(idle)
+}
+
+// restart begins to take the rate anew.
+func (q *queue) restart(now time.Time) {
+	q.began = now
+	q.granted = 0
+	q.rate = 0
+}
+
 // count counts a ticket for the rate.
 func (q *queue) count(now time.Time) {
 	age := now.Sub(q.began)
@@ -176,8 +205,13 @@
 // wait returns how long a request that arrives now would wait, or false if that
 // is not known.
 func (q *queue) wait(now time.Time) (time.Duration, bool) {
-	if q.shut || q.rate == 0 || now.Sub(q.began) > 2*rateWindow {
+	rate := q.rate
+	age := now.Sub(q.began)
+	if rate == 0 && age >= firstWindow {
+		rate = float64(q.granted) / age.Seconds()
+	}
+	if q.shut || rate == 0 {
 		return 0, false
 	}
-	return time.Duration(float64(len(q.waiting)) / q.rate * float64(time.Second)), true
+	return time.Duration(float64(len(q.waiting)) / rate * float64(time.Second)), true
 }
--- a/explain/story_test.go
+++ b/explain/story_test.go
@@ -85,7 +85,7 @@
 
 Rank u2 was slow, and each pass takes as long as the slowest.
 The group did not work: a rank had gone. Only one request at a time was sent, to try it.
-Not run: it could not have been served in its time. The caller was told when to come back.
+Not run: it was not expected to be served in its time. The caller was told when to come back.
 `
 	if diff := cmp.Diff(want, got.String()); diff != "" {
 		t.Errorf("story differs (-want +got):\n%s", diff)
--- a/explain/verdict.go
+++ b/explain/verdict.go
@@ -14,7 +14,7 @@
 	"served":            "The caller has the whole answer.",
 	"upstream-answered": "The upstream itself answered with a failure; it was passed on unchanged.",
 	"upstreams-refused": "Not run: the upstreams that were asked refused. The caller was told when to come back.",
-	"too-many-waiting":  "Not run: it could not have been served in its time. The caller was told when to come back.",
+	"too-many-waiting":  "Not run: it was not expected to be served in its time. The caller was told when to come back.",
 	"no-upstream":       "Not run: the service had no ready upstream.",
 	"keys-not-current":  "Not run: the store had not been heard for so long that its key might have been taken away.",
 	"no-configuration":  "Not run: the entry had no configuration yet.",
