Let late requests leave some slots free for those that can be on time

Now a late request goes only to a rank of whose slots 15 in 100 are left free. Test: TestBoardKeepsSlotsFromLate, which failed (24 of 24 slots were taken).

--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -130,7 +130,7 @@
 			w.granted <- grant{err: ErrNoUpstream}
 			continue
 		}
-		t, wait := b.pick(&w.ask, now)
+		t, wait := b.pick(&w.ask, w.late(now), now)
 		q.shut = wait > 0
 		if q.shut {
 			q.restart(now)
--- a/dispatch/board_test.go
+++ b/dispatch/board_test.go
@@ -317,6 +317,35 @@
 	})
 }
 
+// Pattern: a backlog of late requests. They leave some slots free, so that one that can
+// be on time does not wait for them.
+func TestBoardKeepsSlotsFromLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const ranks, slots, reserved = 2, 12, 2
+		b := newBoard(ranks, slots)
+		got := 0
+		for range ranks * slots {
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			_, err := b.Acquire(ctx, dispatch.Ask{
+				Service: service,
+				Grouped: true,
+				Fresh:   time.Now().Add(-time.Second),
+			})
+			cancel()
+			if err == nil {
+				got++
+			}
+		}
+		if want := ranks * (slots - reserved); got < want || got > want+ranks {
+			t.Errorf("%d late requests were sent to %d slots, want %d to %d", got, ranks*slots, want, want+ranks)
+		}
+		take(t, b, dispatch.Ask{
+			Grouped: true,
+			Fresh:   time.Now().Add(time.Second),
+		})
+	})
+}
+
 // Pattern: lasting overload. Once a backlog has told how many can be served, a request
 // that would wait for too long is refused at once.
 func TestBoardRefusesBehindBacklog(t *testing.T) {
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -33,6 +33,8 @@
 	// of the ranks, one in so many, beyond which the slow ones are needed.
 	slowPace    = 1.5
 	maxSlowPart = 3
+	// lateReserve is the part of a rank's slots that late requests leave free.
+	lateReserve = 0.15
 	// tookWeight is the weight of the newest time in the usual time.
 	tookWeight = 0.15
 )
@@ -111,8 +113,11 @@
 	return p.load(now) > float64(p.slots)-1
 }
 
-// fit reports whether a rank may get a request.
-func (p *peer) fit(now time.Time) bool {
+// fit reports whether a rank may get a request, which may be late anyway.
+func (p *peer) fit(late bool, now time.Time) bool {
+	if late && p.slots > 0 && p.load(now) > max(0, float64(p.slots)*(1-lateReserve)-1) {
+		return false
+	}
 	return !p.busy(now) && !now.Before(p.silent) && !now.Before(p.slow)
 }
 
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -16,8 +16,9 @@
 // since what waits there makes all late that comes after it, and those that are slow
 // or do not answer the planner get nothing either. Of the ranks of a group only a few
 // are drawn by chance: all entries are told the same loads at the same time, and
-// would all send to the ranks with the least. The caller holds mu.
-func (b *Board) pick(ask *Ask, now time.Time) (*Ticket, time.Duration) {
+// would all send to the ranks with the least. A late request leaves some slots free for
+// those that can be on time. The caller holds mu.
+func (b *Board) pick(ask *Ask, late bool, now time.Time) (*Ticket, time.Duration) {
 	q := b.queue(ask.Service)
 	shut := time.Duration(0)
 	var best *route.Upstream
@@ -34,7 +35,7 @@
 		}
 		p := b.peer(u.Name)
 		p.slots = u.Slots
-		if ask.Grouped && !p.fit(now) {
+		if ask.Grouped && !p.fit(late, now) {
 			continue
 		}
 		_, wait := q.gate(p.group).check(now)
