--- a/booking/sequence_test.go
+++ b/booking/sequence_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/fleet"
-	"github.com/foxtailstack/foxtailstack/platform"
+	"github.com/foxtailstack/foxtailstack/internal/memstore"
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 )
@@ -26,7 +26,7 @@
 
 // scripted is a table whose next commit fails as told.
 type scripted struct {
-	platform.Memory
+	memstore.Store
 	next fault
 	late [][]foxtailstack.Write
 }
@@ -38,13 +38,13 @@
 	case faultOutage:
 		return foxtailstack.ErrUnavailable
 	case faultLost:
-		_ = s.Memory.Commit(ctx, writes...)
+		_ = s.Store.Commit(ctx, writes...)
 		return foxtailstack.ErrUncertain
 	case faultLate:
 		s.late = append(s.late, writes)
 		return foxtailstack.ErrUncertain
 	}
-	return s.Memory.Commit(ctx, writes...)
+	return s.Store.Commit(ctx, writes...)
 }
 
 // pendingAttempt is an attempt of a sequence on its way through a sidecar.
@@ -223,7 +223,7 @@
 			if len(m.table.late) == 0 {
 				t.Skip()
 			}
-			_ = m.table.Memory.Commit(ctx, m.table.late[0]...)
+			_ = m.table.Store.Commit(ctx, m.table.late[0]...)
 			m.table.late = m.table.late[1:]
 		},
 		"restart": func(t *rapid.T) {
--- a/booking/world_test.go
+++ b/booking/world_test.go
@@ -15,7 +15,7 @@
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/booking"
 	"github.com/foxtailstack/foxtailstack/fleet"
-	"github.com/foxtailstack/foxtailstack/platform"
+	"github.com/foxtailstack/foxtailstack/internal/memstore"
 	"github.com/foxtailstack/foxtailstack/platform/standin"
 	"github.com/foxtailstack/foxtailstack/team"
 	"github.com/foxtailstack/foxtailstack/timeline"
@@ -135,7 +135,7 @@
 type world struct {
 	chaos    atomic.Int64  // failures in a thousand steps
 	delay    time.Duration // of one message at most
-	memory   platform.Memory
+	memory   memstore.Store
 	replica  fleet.Replica
 	seq      func() int64
 	mu       sync.Mutex
--- a/entry/claim_test.go
+++ b/entry/claim_test.go
@@ -11,7 +11,7 @@
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/booking"
 	"github.com/foxtailstack/foxtailstack/fleet"
-	"github.com/foxtailstack/foxtailstack/platform"
+	"github.com/foxtailstack/foxtailstack/internal/memstore"
 	"github.com/foxtailstack/foxtailstack/timeline"
 	"github.com/foxtailstack/foxtailstack/upstream"
 	"github.com/foxtailstack/foxtailstack/wire"
@@ -30,7 +30,7 @@
 				defer cancel()
 				s := &Server{
 					Client:   wire.NewLocalClient(sidecarThatEndsWith(last)),
-					Recorder: booking.Recorder{Table: &platform.Memory{}},
+					Recorder: booking.Recorder{Table: &memstore.Store{}},
 					Ring:     &timeline.Ring{},
 				}
 				p := &pursuit{
--- a/entry/system_test.go
+++ b/entry/system_test.go
@@ -20,8 +20,8 @@
 	"github.com/foxtailstack/foxtailstack/booking"
 	"github.com/foxtailstack/foxtailstack/entry"
 	"github.com/foxtailstack/foxtailstack/fleet"
+	"github.com/foxtailstack/foxtailstack/internal/memstore"
 	"github.com/foxtailstack/foxtailstack/keys"
-	"github.com/foxtailstack/foxtailstack/platform"
 	"github.com/foxtailstack/foxtailstack/platform/standin"
 	"github.com/foxtailstack/foxtailstack/team"
 	"github.com/foxtailstack/foxtailstack/timeline"
@@ -165,7 +165,7 @@
 			Slots:   1,
 		}
 	}
-	store := fleet.Store{Table: &platform.Memory{}}
+	store := fleet.Store{Table: &memstore.Store{}}
 	for id, spec := range specs {
 		data, err := json.Marshal(spec)
 		if err != nil {
--- a/expert/group_test.go
+++ b/expert/group_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
-	"github.com/foxtailstack/foxtailstack/platform"
+	"github.com/foxtailstack/foxtailstack/internal/memstore"
 	"github.com/foxtailstack/foxtailstack/platform/standin"
 	"github.com/foxtailstack/foxtailstack/timeline"
 	"github.com/google/go-cmp/cmp"
@@ -70,7 +70,7 @@
 		epochs:  map[foxtailstack.Step]foxtailstack.Epoch{},
 		sent:    make([]int, size),
 	}
-	g.table.Table = &platform.Memory{}
+	g.table.Table = &memstore.Store{}
 	g.weights.Time = 10 * time.Millisecond
 	layer, err := Spread(size, 2, size)
 	if err != nil {
@@ -400,7 +400,7 @@
 }
 
 func TestStore(t *testing.T) {
-	table := &standin.FaultyTable{Table: &platform.Memory{}}
+	table := &standin.FaultyTable{Table: &memstore.Store{}}
 	s := Store{
 		Table: table,
 		Group: "g",
--- a/expert/peers_test.go
+++ b/expert/peers_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/internal/memstore"
 	"github.com/foxtailstack/foxtailstack/keys"
-	"github.com/foxtailstack/foxtailstack/platform"
 	"github.com/foxtailstack/foxtailstack/platform/standin"
 	"github.com/foxtailstack/foxtailstack/timeline"
 	"github.com/foxtailstack/foxtailstack/wire"
@@ -28,7 +28,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	table := &platform.Memory{}
+	table := &memstore.Store{}
 	client := wire.NewClient(config.Peer)
 	defer client.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
--- a/fleet/api_test.go
+++ b/fleet/api_test.go
@@ -20,7 +20,7 @@
 
 	"github.com/alexedwards/flow"
 	"github.com/foxtailstack/foxtailstack"
-	"github.com/foxtailstack/foxtailstack/platform"
+	"github.com/foxtailstack/foxtailstack/internal/memstore"
 	"github.com/foxtailstack/foxtailstack/platform/standin"
 	"github.com/google/go-cmp/cmp"
 )
@@ -31,13 +31,13 @@
 type apiRig struct {
 	api    *API
 	table  *standin.FaultyTable
-	memory *platform.Memory
+	memory *memstore.Store
 	mux    *flow.Mux
 }
 
 func newAPIRig() *apiRig {
 	rig := &apiRig{
-		memory: &platform.Memory{},
+		memory: &memstore.Store{},
 		mux:    flow.New(),
 	}
 	rig.table = &standin.FaultyTable{Table: rig.memory}
--- a/fleet/commit_test.go
+++ b/fleet/commit_test.go
@@ -14,13 +14,13 @@
 
 	"github.com/anishathalye/porcupine"
 	"github.com/foxtailstack/foxtailstack"
-	"github.com/foxtailstack/foxtailstack/platform"
+	"github.com/foxtailstack/foxtailstack/internal/memstore"
 	"github.com/google/go-cmp/cmp"
 )
 
 // lateTable loses answers, applies commits late and refuses operations.
 type lateTable struct {
-	platform.Memory
+	memstore.Store
 	mu  sync.Mutex
 	rng *rand.Rand
 	// refuse, lose and late are chances in a hundred.
@@ -47,7 +47,7 @@
 	if t.chance(t.refuse) {
 		return foxtailstack.Row{}, foxtailstack.ErrUnavailable
 	}
-	return t.Memory.Get(ctx, key)
+	return t.Store.Get(ctx, key)
 }
 
 func (t *lateTable) Commit(ctx context.Context, writes ...foxtailstack.Write) error {
@@ -63,14 +63,14 @@
 			t.pause()
 			t.pause()
 			t.pause()
-			_ = t.Memory.Commit(ctx, writes...)
+			_ = t.Store.Commit(ctx, writes...)
 		}()
 		return foxtailstack.ErrUncertain
 	case t.chance(t.lose):
-		_ = t.Memory.Commit(ctx, writes...)
+		_ = t.Store.Commit(ctx, writes...)
 		return foxtailstack.ErrUncertain
 	}
-	return t.Memory.Commit(ctx, writes...)
+	return t.Store.Commit(ctx, writes...)
 }
 
 // commitOutput is what an operator was told.
@@ -198,7 +198,7 @@
 // checkLog checks that the log leads to the resources that the table holds.
 func checkLog(t *testing.T, table *lateTable) {
 	t.Helper()
-	store := Store{Table: &table.Memory}
+	store := Store{Table: &table.Store}
 	changes, err := store.Since(t.Context(), 0)
 	if err != nil {
 		t.Fatal(err)
--- a/fleet/store_test.go
+++ b/fleet/store_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
-	"github.com/foxtailstack/foxtailstack/platform"
+	"github.com/foxtailstack/foxtailstack/internal/memstore"
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -36,7 +36,7 @@
 // A process that slept past the log's retention sees the gap, not silence.
 func TestSinceExpired(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := Store{Table: &platform.Memory{}}
+		store := Store{Table: &memstore.Store{}}
 		declare(t, store, KindFleet, "a", "{}")
 		declare(t, store, KindFleet, "b", "{}")
 		time.Sleep(2 * logRetention)
@@ -50,18 +50,18 @@
 // tornTable commits two changes while a range is read, and returns the first
 // row from before and the second from after them.
 type tornTable struct {
-	platform.Memory
+	memstore.Store
 	between func()
 }
 
 func (t *tornTable) Range(ctx context.Context, partition, after string, n int) ([]foxtailstack.Row, error) {
-	rows, err := t.Memory.Range(ctx, partition, after, n)
+	rows, err := t.Store.Range(ctx, partition, after, n)
 	if t.between == nil || partition != partitionResource {
 		return rows, err
 	}
 	t.between()
 	t.between = nil
-	later, err := t.Memory.Range(ctx, partition, after, n)
+	later, err := t.Store.Range(ctx, partition, after, n)
 	return []foxtailstack.Row{rows[0], later[1]}, err
 }
 
@@ -98,7 +98,7 @@
 
 // A revision only rises, whatever arrives.
 func TestReplicaRises(t *testing.T) {
-	store := Store{Table: &platform.Memory{}}
+	store := Store{Table: &memstore.Store{}}
 	changes := []Change{
 		declare(t, store, KindFleet, "a", "{}"),
 		declare(t, store, KindFleet, "a", `{"cap":1}`),
@@ -155,7 +155,7 @@
 
 // A reference cannot be broken, in either order.
 func TestReferences(t *testing.T) {
-	store := Store{Table: &platform.Memory{}}
+	store := Store{Table: &memstore.Store{}}
 	declare(t, store, KindFleet, "formula", "{}")
 	declare(t, store, KindPolicy, "formula/lookup", "{}")
 	declare(t, store, KindPolicy, "formula/other", "{}")
@@ -224,7 +224,7 @@
 
 // Another proposal under the same ChangeID is refused, the same one is repeated.
 func TestCommitRepeated(t *testing.T) {
-	store := Store{Table: &platform.Memory{}}
+	store := Store{Table: &memstore.Store{}}
 	proposal := Proposal{
 		ChangeID: foxtailstack.NewChangeID(),
 		ID: ID{
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
-	"github.com/foxtailstack/foxtailstack/platform"
+	"github.com/foxtailstack/foxtailstack/internal/memstore"
 	"github.com/foxtailstack/foxtailstack/platform/standin"
 	"github.com/foxtailstack/foxtailstack/wire"
 )
@@ -26,7 +26,7 @@
 type world struct {
 	t      *testing.T
 	table  standin.FaultyTable
-	memory platform.Memory
+	memory memstore.Store
 	mu     sync.Mutex
 	nodes  map[foxtailstack.Address]*worldNode
 	list   []foxtailstack.Instance
--- a/platform/memory.go
+++ b/internal/memstore/store.go
@@ -1,4 +1,4 @@
-package platform
+package memstore
 
 import (
 	"context"
@@ -10,22 +10,22 @@
 	"github.com/foxtailstack/foxtailstack"
 )
 
-// Memory is a foxtailstack.Table and a foxtailstack.ObjectStore within one
+// Store is a foxtailstack.Table and a foxtailstack.ObjectStore within one
 // process. The zero value is empty and ready for use.
-type Memory struct {
+type Store struct {
 	mu      sync.Mutex
-	rows    map[foxtailstack.Key]memoryRow
+	rows    map[foxtailstack.Key]keptRow
 	objects map[string][]byte
 }
 
-// memoryRow is a row with the time of its end.
-type memoryRow struct {
+// keptRow is a row with the time of its end.
+type keptRow struct {
 	row     foxtailstack.Row
 	expires time.Time
 }
 
 // Get returns the row under key, or foxtailstack.ErrNotFound.
-func (m *Memory) Get(_ context.Context, key foxtailstack.Key) (foxtailstack.Row, error) {
+func (m *Store) Get(_ context.Context, key foxtailstack.Key) (foxtailstack.Row, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	row, ok := m.live(key)
@@ -36,7 +36,7 @@
 }
 
 // Commit applies all writes, or none of them if a version differs.
-func (m *Memory) Commit(_ context.Context, writes ...foxtailstack.Write) error {
+func (m *Store) Commit(_ context.Context, writes ...foxtailstack.Write) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, w := range writes {
@@ -47,10 +47,10 @@
 		}
 	}
 	if m.rows == nil {
-		m.rows = map[foxtailstack.Key]memoryRow{}
+		m.rows = map[foxtailstack.Key]keptRow{}
 	}
 	for _, w := range writes {
-		m.rows[w.Key] = memoryRow{
+		m.rows[w.Key] = keptRow{
 			row: foxtailstack.Row{
 				Key:     w.Key,
 				Version: w.Expect + 1,
@@ -63,7 +63,7 @@
 }
 
 // Range returns at most n rows of a partition after a sort key.
-func (m *Memory) Range(_ context.Context, partition, after string, n int) ([]foxtailstack.Row, error) {
+func (m *Store) Range(_ context.Context, partition, after string, n int) ([]foxtailstack.Row, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var rows []foxtailstack.Row
@@ -80,12 +80,12 @@
 }
 
 // Objects returns the object store of m.
-func (m *Memory) Objects() foxtailstack.ObjectStore {
-	return memoryObjects{memory: m}
+func (m *Store) Objects() foxtailstack.ObjectStore {
+	return objects{store: m}
 }
 
 // live returns a row that has not expired. The caller holds m.mu.
-func (m *Memory) live(key foxtailstack.Key) (foxtailstack.Row, bool) {
+func (m *Store) live(key foxtailstack.Key) (foxtailstack.Row, bool) {
 	found, ok := m.rows[key]
 	if !ok || (!found.expires.IsZero() && time.Now().After(found.expires)) {
 		return foxtailstack.Row{}, false
@@ -93,16 +93,16 @@
 	return found.row, true
 }
 
-// memoryObjects is the object store of a Memory.
-type memoryObjects struct {
-	memory *Memory
+// objects is the object store of a Store.
+type objects struct {
+	store *Store
 }
 
 // Get returns the object under name, or foxtailstack.ErrNotFound.
-func (o memoryObjects) Get(_ context.Context, name string) ([]byte, error) {
-	o.memory.mu.Lock()
-	defer o.memory.mu.Unlock()
-	data, ok := o.memory.objects[name]
+func (o objects) Get(_ context.Context, name string) ([]byte, error) {
+	o.store.mu.Lock()
+	defer o.store.mu.Unlock()
+	data, ok := o.store.objects[name]
 	if !ok {
 		return nil, foxtailstack.ErrNotFound
 	}
@@ -110,12 +110,12 @@
 }
 
 // Put stores the object under name.
-func (o memoryObjects) Put(_ context.Context, name string, data []byte) error {
-	o.memory.mu.Lock()
-	defer o.memory.mu.Unlock()
-	if o.memory.objects == nil {
-		o.memory.objects = map[string][]byte{}
+func (o objects) Put(_ context.Context, name string, data []byte) error {
+	o.store.mu.Lock()
+	defer o.store.mu.Unlock()
+	if o.store.objects == nil {
+		o.store.objects = map[string][]byte{}
 	}
-	o.memory.objects[name] = append([]byte(nil), data...)
+	o.store.objects[name] = append([]byte(nil), data...)
 	return nil
 }
--- a/measure/spreadsystem.go
+++ b/measure/spreadsystem.go
@@ -10,15 +10,15 @@
 
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/fleet"
+	"github.com/foxtailstack/foxtailstack/internal/memstore"
 	"github.com/foxtailstack/foxtailstack/keys"
-	"github.com/foxtailstack/foxtailstack/platform"
 	"github.com/foxtailstack/foxtailstack/platform/standin"
 	"github.com/foxtailstack/foxtailstack/wire"
 )
 
 // spreadSystem is a number of processes with one table.
 type spreadSystem struct {
-	memory platform.Memory
+	memory memstore.Store
 	table  standin.FaultyTable
 	config keys.Config
 	list   []foxtailstack.Instance
--- a/upstream/order_test.go
+++ b/upstream/order_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
-	"github.com/foxtailstack/foxtailstack/platform"
+	"github.com/foxtailstack/foxtailstack/internal/memstore"
 	"github.com/foxtailstack/foxtailstack/platform/standin"
 	"github.com/foxtailstack/foxtailstack/timeline"
 	"github.com/google/go-cmp/cmp"
@@ -143,7 +143,7 @@
 			t.Run(test.name, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					l := &loader{checks: checks}
-					test.do(t, l, &standin.FaultyTable{Table: &platform.Memory{}})
+					test.do(t, l, &standin.FaultyTable{Table: &memstore.Store{}})
 					if diff := cmp.Diff(test.want, l.orders); diff != "" {
 						t.Errorf("orders with checks %t (-want +got):\n%s", checks, diff)
 					}
