--- a/measure/ranks.go
+++ b/measure/ranks.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -57,10 +56,13 @@
 	group   *rankGroup
 	entries []rankPolicy
 
-	mu                             sync.Mutex
-	asked, onTime, late, lost, not int
-	refusals                       int
-	first, told                    []time.Duration
+	mu sync.Mutex
+	// asked counts the requests, and the next four how they ended; refusals counts
+	// the attempts that a full rank refused.
+	asked, onTime, late, lost, refused int
+	refusals                           int
+	// first holds the times to the first event, told those to a refusal.
+	first, told []time.Duration
 }
 
 // Ranks compares policies of choosing a rank of a group that works in lock-step:
@@ -123,10 +125,7 @@
 // report tells all entries the state of the ranks from time to time.
 func (r *ranks) report(ctx context.Context) {
 	for clock.Sleep(ctx, ranksTold-ranksAge) == nil {
-		running := r.group.running()
-		r.group.mu.Lock()
-		pace := slices.Clone(r.group.pace)
-		r.group.mu.Unlock()
+		running, pace := r.group.state()
 		if clock.Sleep(ctx, ranksAge) != nil {
 			return
 		}
@@ -152,9 +151,7 @@
 	if clock.Sleep(ctx, after) != nil {
 		return
 	}
-	r.group.mu.Lock()
-	defer r.group.mu.Unlock()
-	r.group.pace[1] = ranksSlow
+	r.group.setPace(1, ranksSlow)
 }
 
 // call makes one request from an entry.
@@ -188,7 +185,7 @@
 		}
 		if !r.group.add(rank, stream) {
 			done(dispatch.Refused)
-			r.refused()
+			r.refuseAttempt()
 			ask.Avoid[rankName(rank)] = true
 			continue
 		}
@@ -230,8 +227,8 @@
 	}
 }
 
-// refused counts an attempt that a rank refused.
-func (r *ranks) refused() {
+// refuseAttempt counts an attempt that a rank refused.
+func (r *ranks) refuseAttempt() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refusals++
@@ -246,7 +243,7 @@
 		r.lost++
 		return
 	}
-	r.not++
+	r.refused++
 	r.told = append(r.told, after)
 }
 
@@ -267,15 +264,6 @@
 	r.first = append(r.first, first)
 }
 
-// drop takes the stream of a caller that has left from its rank.
-func (g *rankGroup) drop(stream *rankStream) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for i := range g.streams {
-		g.streams[i] = slices.DeleteFunc(g.streams[i], func(s *rankStream) bool { return s == stream })
-	}
-}
-
 // line returns the results.
 func (r *ranks) line(policy string, load int) Line {
 	asked := float64(max(r.asked, 1))
@@ -302,7 +290,7 @@
 		},
 		{
 			Key:   "refused_share",
-			Value: float64(r.not) / asked,
+			Value: float64(r.refused) / asked,
 		},
 		{
 			Key:   "lost_share",
--- a/measure/ranks_model.go
+++ b/measure/ranks_model.go
@@ -76,15 +76,22 @@
 	return true
 }
 
-// running returns the number of streams of each rank.
-func (g *rankGroup) running() []int {
+// state returns the number of streams and the pace of each rank.
+func (g *rankGroup) state() (running []int, pace []float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	all := make([]int, len(g.streams))
+	running = make([]int, len(g.streams))
 	for i, streams := range g.streams {
-		all[i] = len(streams)
+		running[i] = len(streams)
 	}
-	return all
+	return running, slices.Clone(g.pace)
+}
+
+// setPace changes how slow a rank is.
+func (g *rankGroup) setPace(rank int, pace float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pace[rank] = pace
 }
 
 // setSkew changes how uneven the experts' work is.
@@ -94,6 +101,15 @@
 	g.skew = skew
 }
 
+// drop takes the stream of a caller that has left from its rank.
+func (g *rankGroup) drop(stream *rankStream) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i := range g.streams {
+		g.streams[i] = slices.DeleteFunc(g.streams[i], func(s *rankStream) bool { return s == stream })
+	}
+}
+
 // run makes passes until ctx ends.
 func (g *rankGroup) run(ctx context.Context) {
 	for ctx.Err() == nil {
