Serve requests that are never late in the order in which they came

Cause: found by reading the diff: since the newest that can be on time go first, so did those without a time to be on time, such as bookings, whose oldest could have waited until their deadline behind later ones. Now the newest go first only where a request has such a time.

--- a/dispatch/board_test.go
+++ b/dispatch/board_test.go
@@ -252,6 +252,38 @@
 	})
 }
 
+// Requests that are never late, such as bookings, are served in the order in which
+// they came.
+func TestBoardKeepsOrderWithoutLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBoard(1, 1)
+		holder := take(t, b, dispatch.Ask{Grouped: true})
+		served := make(chan int, 3)
+		for i := range cap(served) {
+			go func() {
+				ticket, err := b.Acquire(t.Context(), dispatch.Ask{
+					Service: service,
+					Grouped: true,
+				})
+				if err != nil {
+					t.Errorf("request %d: %v", i, err)
+					return
+				}
+				served <- i
+				ticket.Done(dispatch.Report{Outcome: dispatch.Answered})
+			}()
+			synctest.Wait()
+			time.Sleep(time.Millisecond)
+		}
+		holder.Done(dispatch.Report{Outcome: dispatch.Answered})
+		for want := range cap(served) {
+			if got := <-served; got != want {
+				t.Errorf("request %d was served, want %d", got, want)
+			}
+		}
+	})
+}
+
 // Pattern: overload. What cannot be served in its time is refused at once, not at
 // its deadline.
 func TestBoardRefusesHopelessAtOnce(t *testing.T) {
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -88,8 +88,8 @@
 // order returns those that wait in the order in which they are served: first those
 // that can still be on time, then those whose time would soon be too short, then
 // those that are late anyway. So a backlog of late requests does not make all that
-// follow late too. Among each the urgent go first. Of those that can be on time the
-// newest come next: while more come than can be served, the oldest would each be
+// follow late too. Among each the urgent go first. Of those that would soon be late
+// the newest come next: while more come than can be served, the oldest would each be
 // served just too late. Of the others it is those that have waited longest.
 func (q *queue) order(now time.Time) []*waiter {
 	ordered := slices.Clone(q.waiting)
@@ -127,7 +127,7 @@
 // after returns whether a waiter comes after another of the same turn, as a number
 // above zero.
 func (w *waiter) after(other *waiter, now time.Time) int {
-	if w.turn(now) == turnFresh {
+	if !w.ask.Fresh.IsZero() && w.turn(now) == turnFresh {
 		return other.since.Compare(w.since)
 	}
 	return w.since.Compare(other.since)
