Let streams leave a rank that stands still while its group goes on

A stream that may be resumed now goes on at another rank once its own has sent nothing for 0.4 s and five passes; before its first event only if the rank is believed silent.

--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -120,6 +120,13 @@
 	return silent
 }
 
+// Silent reports whether a rank is believed not to answer.
+func (b *Board) Silent(name foxtailstack.UpstreamName) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Now().Before(b.peer(name).silent)
+}
+
 // Paused records the pause between the last two events of a stream of a group.
 func (b *Board) Paused(service foxtailstack.ServiceName, pause time.Duration) {
 	b.mu.Lock()
@@ -127,6 +134,14 @@
 	b.queue(service).pulse.add(time.Now(), pause)
 }
 
+// Passes returns how many passes of the groups behind a service this process has
+// noticed so far by the events of its streams.
+func (b *Board) Passes(service foxtailstack.ServiceName) Passes {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.queue(service).pulse.passes
+}
+
 // Pass returns the time of a pass of the group behind a service, or zero if that
 // is not known.
 func (b *Board) Pass(service foxtailstack.ServiceName) time.Duration {
--- a/dispatch/pulse.go
+++ b/dispatch/pulse.go
@@ -14,6 +14,9 @@
 	burstTime = 15 * time.Millisecond
 )
 
+// Passes counts passes of the groups behind a service.
+type Passes uint64
+
 // pulse takes the time of a group's passes from the pauses between the events of
 // streams, one of which each pass makes. The number of passes in a time would not
 // tell it: a group that is nearly idle makes few of them. The zero value knows
@@ -21,6 +24,8 @@
 type pulse struct {
 	pauses []time.Duration
 	last   time.Time
+	// passes counts those that were noticed.
+	passes Passes
 }
 
 // add records that an event came in now, a pause after the one before it in its
@@ -30,6 +35,7 @@
 		return // another stream's event of the same pass
 	}
 	p.last = now
+	p.passes++
 	p.pauses = append(p.pauses, pause)
 	if len(p.pauses) > pulsePasses {
 		p.pauses = p.pauses[1:]
--- a/dispatch/ticket.go
+++ b/dispatch/ticket.go
@@ -25,6 +25,8 @@
 	Moved
 	// Broken means that its group cannot work.
 	Broken
+	// Stalled means that the rank made no progress while its group did.
+	Stalled
 )
 
 // Report is what the user of a ticket learnt.
@@ -67,6 +69,8 @@
 		p.strike(now)
 	case Moved:
 		p.shunned = now.Add(maxShun)
+	case Stalled:
+		b.setSilent(&t.Upstream, now.Add(silentTime), 0)
 	case Broken:
 		t.broken(report.Culprit)
 		t.gate.breakUntil(now.Add(probePause))
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -67,9 +67,11 @@
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
+	in := &input{raw: raw}
 	return &Conn{
 		raw: raw,
-		r:   bufio.NewReaderSize(raw, readBuffer),
+		in:  in,
+		r:   bufio.NewReaderSize(in, readBuffer),
 		w:   bufio.NewWriterSize(raw, writeBuffer),
 	}, nil
 }
@@ -81,6 +83,7 @@
 		keep = defaultIdle
 	}
 	conn.expires = time.Now().Add(keep - idleMargin)
+	conn.in.unwatch()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
@@ -137,6 +140,7 @@
 // Conn is a connection to an upstream.
 type Conn struct {
 	raw     net.Conn
+	in      *input
 	r       *bufio.Reader
 	w       *bufio.Writer
 	expires time.Time
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/foxtailstack/foxtailstack/dispatch"
@@ -27,6 +28,7 @@
 	if c.stream.begun {
 		resumesTotal.Inc()
 	}
+	c.watch(conn)
 	in, err := conn.Send(c.outgoing(u), c.gateway.Codec)
 	if err != nil {
 		conn.Abort()
@@ -82,7 +84,11 @@
 		return gone
 	}
 	c.logAttempt("attempt failed", err)
-	ticket.Done(dispatch.Report{Outcome: dispatch.Failed})
+	outcome := dispatch.Failed
+	if errors.Is(err, exchange.ErrStalled) {
+		outcome = dispatch.Stalled
+	}
+	ticket.Done(dispatch.Report{Outcome: outcome})
 	return again
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -63,6 +63,10 @@
 	last *whole
 	// stream is the state of a stream whose answer has begun.
 	stream stream
+	// progress is what the present attempt was last seen to do.
+	progress progress
+	// paid tells that the budget has already given the next attempt.
+	paid bool
 	// needs is the least time in which the request can be served, begins when the
 	// caller leaves if no event has come; zero means never.
 	needs  time.Duration
@@ -184,7 +188,8 @@
 	if c.dials > maxDials || c.refusals > maxRefusals {
 		return false
 	}
-	if c.sends == 0 {
+	if c.sends == 0 || c.paid {
+		c.paid = false
 		return true
 	}
 	allowed := c.gateway.Budget.Retry(c.service)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -35,6 +35,12 @@
 // newSite returns a gateway with one route of each kind, before workers that
 // serve as the handler of each says.
 func newSite(t *testing.T, workers ...http.HandlerFunc) *site {
+	t.Helper()
+	return newSiteOf(t, "drafts", workers...)
+}
+
+// newSiteOf returns a gateway like newSite's before workers of one service.
+func newSiteOf(t *testing.T, service string, workers ...http.HandlerFunc) *site {
 	t.Helper()
 	s := &site{}
 	s.view = &watch.View{
@@ -66,7 +72,7 @@
 	for i, worker := range workers {
 		served := httptest.NewServer(worker)
 		t.Cleanup(served.Close)
-		rows = append(rows, standin.WorkerRow(fmt.Sprintf("w%d", i), "drafts", served.Listener.Addr().String()))
+		rows = append(rows, standin.WorkerRow(fmt.Sprintf("w%d", i), service, served.Listener.Addr().String()))
 	}
 	s.view.ReplaceFleet(rows, 1)
 	s.view.SetConfig([]foxtailstack.Record{standin.ConfigRow(1)}, 1)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -160,6 +160,7 @@
 		return true
 	}
 	eventsTotal.Inc()
+	c.progressed(true)
 	_, err := c.w.Write(e.text)
 	if err == nil {
 		err = http.NewResponseController(c.w).Flush()
--- /dev/null
+++ b/gateway/stall.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/foxtailstack/foxtailstack/dispatch"
+	"github.com/foxtailstack/foxtailstack/exchange"
+	"github.com/foxtailstack/foxtailstack/route"
+)
+
+const (
+	// stallCheck is the time between two looks at a stream that waits.
+	stallCheck = 100 * time.Millisecond
+	// stallTime is how long a stream of a group makes no progress at the least until
+	// it goes on at another rank, and stallPasses how many passes the group makes in
+	// that time. Ranks work in lock-step, so that one whose streams stand still while
+	// those of others go on cannot be reached. One that has not begun may have to
+	// wait for its turn, and leaves only a rank that is believed to be silent.
+	stallTime   = 400 * time.Millisecond
+	stallPasses = 5
+)
+
+// progress is when a stream was sent to its present rank or had its last event from
+// there, and how many passes the group had made by then.
+type progress struct {
+	at     time.Time
+	passes dispatch.Passes
+	// begun tells that the rank has sent an event.
+	begun bool
+}
+
+// progressed records that the stream was sent or, if it has begun, had an event now.
+func (c *call) progressed(begun bool) {
+	if !c.grouped() {
+		return
+	}
+	c.progress = progress{
+		at:     time.Now(),
+		passes: c.gateway.Board.Passes(c.service),
+		begun:  begun,
+	}
+}
+
+// grouped reports whether the upstreams are ranks of groups.
+func (c *call) grouped() bool {
+	return c.cfg.Services[c.service].Group != nil
+}
+
+// watch has a stream that may go on at another rank leave one that stands still.
+func (c *call) watch(conn *exchange.Conn) {
+	if c.route.Kind != route.Stream || !c.route.Idempotent() || !c.grouped() {
+		return
+	}
+	c.progressed(false)
+	conn.Watch(stallCheck, c.stalled)
+}
+
+// stalled reports whether the request should leave its rank, and takes the next
+// attempt from the budget if so.
+func (c *call) stalled() bool {
+	if c.r.Context().Err() != nil || len(c.sent) >= c.route.MaxAttempts {
+		return false
+	}
+	if time.Since(c.progress.at) < stallTime {
+		return false
+	}
+	if c.gateway.Board.Passes(c.service) < c.progress.passes+stallPasses {
+		return false
+	}
+	if !c.progress.begun && !c.gateway.Board.Silent(c.upstream) {
+		return false
+	}
+	c.paid = c.gateway.Budget.Retry(c.service)
+	return c.paid
+}
