Let streams leave a slow rank

Ruled out: the map (planned 1.107 and 1.106 at 4.70 and 5.79 s), new requests (none are sent to a slow rank). Test: TestStreamLeavesUnfitRank, two new cases, which failed without.

--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -127,6 +127,13 @@
 	return time.Now().Before(b.peer(name).silent)
 }
 
+// Slow reports whether a rank is so slow that it gets nothing.
+func (b *Board) Slow(name foxtailstack.UpstreamName) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Now().Before(b.peer(name).slow)
+}
+
 // Paused records the pause between the last two events of a stream of a group.
 func (b *Board) Paused(service foxtailstack.ServiceName, pause time.Duration) {
 	b.mu.Lock()
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -148,7 +148,7 @@
 
 // readError returns the error of an exchange for one of reading.
 func readError(err error) error {
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, ErrStalled) || isNetwork(err) {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, ErrLeft) || isNetwork(err) {
 		return fmt.Errorf("%w: read: %w", ErrBroken, err)
 	}
 	return fmt.Errorf("%w: %w", ErrGarbled, err)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -85,8 +85,11 @@
 	}
 	c.logAttempt("attempt failed", err)
 	outcome := dispatch.Failed
-	if errors.Is(err, exchange.ErrStalled) {
+	switch {
+	case errors.Is(err, errStill):
 		outcome = dispatch.Stalled
+	case errors.Is(err, errSlow):
+		outcome = dispatch.Abandoned
 	}
 	ticket.Done(dispatch.Report{Outcome: outcome})
 	return again
--- a/gateway/stall.go
+++ b/gateway/leave.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"time"
 
 	"github.com/foxtailstack/foxtailstack/dispatch"
@@ -46,30 +47,54 @@
 	return c.cfg.Services[c.service].Group != nil
 }
 
-// watch has a stream that may go on at another rank leave one that stands still.
+// Reasons for which a stream leaves its rank.
+var (
+	errStill = errors.New("rank makes no progress while its group does")
+	errSlow  = errors.New("rank is slow and holds up its group")
+)
+
+// watch has a stream that may go on at another rank leave one that stands still or
+// is slow.
 func (c *call) watch(conn *exchange.Conn) {
 	if c.route.Kind != route.Stream || !c.route.Idempotent() || !c.grouped() {
 		return
 	}
 	c.progressed(false)
-	conn.Watch(stallCheck, c.stalled)
+	conn.Watch(stallCheck, c.leave)
 }
 
-// stalled reports whether the request should leave its rank, and takes the next
+// leave returns why the request should leave its rank, or nil, and takes the next
 // attempt from the budget if so.
-func (c *call) stalled() bool {
+func (c *call) leave() error {
 	if c.r.Context().Err() != nil || len(c.sent) >= c.route.MaxAttempts {
-		return false
+		return nil
+	}
+	why := c.unfit()
+	if why == nil {
+		return nil
+	}
+	c.paid = c.gateway.Budget.Retry(c.service)
+	if !c.paid {
+		return nil
+	}
+	return why
+}
+
+// unfit returns why the rank does not serve the request well, or nil. A slow rank
+// holds up every pass by its own requests, so that all its streams leave.
+func (c *call) unfit() error {
+	board := c.gateway.Board
+	if board.Slow(c.upstream) {
+		return errSlow
 	}
 	if time.Since(c.progress.at) < stallTime {
-		return false
+		return nil
 	}
-	if c.gateway.Board.Passes(c.service) < c.progress.passes+stallPasses {
-		return false
+	if board.Passes(c.service) < c.progress.passes+stallPasses {
+		return nil
 	}
-	if !c.progress.begun && !c.gateway.Board.Silent(c.upstream) {
-		return false
+	if !c.progress.begun && !board.Silent(c.upstream) {
+		return nil
 	}
-	c.paid = c.gateway.Budget.Retry(c.service)
-	return c.paid
+	return errStill
 }
--- a/gateway/stall_test.go
+++ b/gateway/leave_test.go
@@ -39,20 +39,39 @@
 	}()
 }
 
-// silence tells the gateway that one rank does not answer the others.
-func (s *site) silence(rank string) {
+// told is what the gateway is told of the first rank that a request reaches.
+type told uint8
+
+const (
+	toldNothing told = iota
+	// toldSilent is that it does not answer the planner.
+	toldSilent
+	// toldSlow is that it is slow.
+	toldSlow
+)
+
+// tell tells the gateway of the ranks of the group, and something of one of them.
+func (s *site) tell(rank string, what told) {
+	if what == toldNothing {
+		return
+	}
 	loads := make(map[foxtailstack.Address]dispatch.RankLoad)
 	for _, u := range s.view.Fleet().Ready("models") {
-		if string(u.Address) != rank {
-			loads[u.Address] = dispatch.RankLoad{Pace: 1}
-		}
+		loads[u.Address] = dispatch.RankLoad{Pace: 1}
+	}
+	address := foxtailstack.Address(rank)
+	if what == toldSilent {
+		delete(loads, address)
+	} else {
+		loads[address] = dispatch.RankLoad{Pace: 12}
 	}
 	s.gateway.Board.TellGroup("models", "g", loads, 0)
 }
 
-// Pattern: the machine of one rank stands still, or a connection to it goes silent,
-// while its group goes on. Its streams go on at another rank.
-func TestStalledStreamGoesOnElsewhere(t *testing.T) {
+// Patterns: the machine of one rank stands still, or a connection to it goes silent,
+// while its group goes on; one rank turns slow, and every pass waits for what its own
+// requests need. Its streams go on at another rank.
+func TestStreamLeavesUnfitRank(t *testing.T) {
 	served := func(w http.ResponseWriter, r *http.Request) {
 		from, _ := strconv.Atoi(r.Header.Get(standin.HeaderLastEvent))
 		events(w, r, from+1, 10)
@@ -73,13 +92,13 @@
 	tests := map[string]struct {
 		last   int
 		passes bool
-		silent bool
+		told   told
 		budget int
 		want   answer
 	}{
 		"before its first event at a silent rank": {
 			passes: true,
-			silent: true,
+			told:   toldSilent,
 			budget: 100,
 			want: answer{
 				Status: 200,
@@ -95,6 +114,23 @@
 				Body:   wantEvents(1, 10),
 			},
 		},
+		"at a slow rank": {
+			last:   4,
+			told:   toldSlow,
+			budget: 100,
+			want: answer{
+				Status: 200,
+				Body:   wantEvents(1, 10),
+			},
+		},
+		"before its first event at a slow rank": {
+			told:   toldSlow,
+			budget: 100,
+			want: answer{
+				Status: 200,
+				Body:   wantEvents(1, 10),
+			},
+		},
 		"waits for its first event at a rank that others hear": {
 			passes: true,
 			budget: 100,
@@ -127,9 +163,7 @@
 			c := &calls{}
 			var s *site
 			worker := each(c, stillAfter(test.last, func(rank string) {
-				if test.silent {
-					s.silence(rank)
-				}
+				s.tell(rank, test.told)
 			}), served)
 			s = newSiteOf(t, "models", worker, worker, worker)
 			s.gateway.Budget.Slack = test.budget
