Survey a group each 0.1 s, and each 0.06 s while demand shifts

A shift takes two surveys to tell and one more to know the new demand, 0.2 s each. Ruled out: planning (1.7 ms), copies (prepare 0.10 to 0.22 s), the switch (0.05 to 0.19 s).

--- a/group/planner.go
+++ b/group/planner.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// surveyPause is the time between two surveys.
-	surveyPause = 200 * time.Millisecond
+	// surveyPause is the time between two surveys, shiftPause that while demand has
+	// shifted and the new one is not known yet.
+	surveyPause = 100 * time.Millisecond
+	shiftPause  = 60 * time.Millisecond
 	// easyEnough is how even a map has to be while a pass takes less than easyShare
 	// of the longest pause between events.
 	easyEnough = 1.22
@@ -113,13 +115,21 @@
 		if p.urgent && err == nil {
 			continue
 		}
-		err = clock.Sleep(ctx, surveyPause-time.Since(began))
+		err = clock.Sleep(ctx, p.pause()-time.Since(began))
 		if err != nil {
 			return err
 		}
 	}
 }
 
+// pause returns the time between two surveys.
+func (p *Planner) pause() time.Duration {
+	if p.demand.Steady() {
+		return surveyPause
+	}
+	return shiftPause
+}
+
 // grace returns how long a survey waits for the last rank beyond the others. A
 // group that is held stands still, and the rank that does not answer is likely
 // that of the planner that held it.
--- a/group/switch_test.go
+++ b/group/switch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,6 +35,37 @@
 	})
 }
 
+// Pattern: other experts are in demand each two seconds, and until the map follows,
+// every pass waits for the rank that holds them. The new map takes a copy of 0.15 s
+// and is in force within 0.6 s of each shift.
+func TestMapFollowsShift(t *testing.T) {
+	const (
+		shifts = 8
+		soon   = 600 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(4)
+		ctx, cancel := context.WithCancel(t.Context())
+		go w.run(ctx)
+		w.start(ctx, 0, 1)
+		time.Sleep((shifts + 1) * shiftPasses * passTime)
+		w.check(t)
+		w.mu.Lock()
+		for shift := 1; shift <= shifts; shift++ {
+			maps := w.maps[shift*shiftPasses:]
+			passes := slices.IndexFunc(maps, func(version foxtailstack.Epoch) bool {
+				return version != maps[0]
+			})
+			if took := time.Duration(passes) * passTime; passes < 0 || took > soon {
+				t.Errorf("shift %d: map followed after %s, want %s or less", shift, took, soon)
+			}
+		}
+		w.mu.Unlock()
+		cancel()
+		time.Sleep(time.Minute) // lets all goroutines end
+	})
+}
+
 // Every combination of fates of the first orders of a switch, each in a run of
 // its own, ends without a pass of two maps, and the group goes on.
 func TestSwitchBearsEveryFate(t *testing.T) {
--- a/group/world_test.go
+++ b/group/world_test.go
@@ -17,6 +17,8 @@
 const (
 	// passTime is the time of a pass in a world.
 	passTime = 50 * time.Millisecond
+	// shiftPasses is the number of passes between two shifts of demand.
+	shiftPasses = 40
 	// cutTime is how long a machine stands still.
 	cutTime = 3 * time.Second
 	// copyTime is the time that a rank takes to prepare a map.
@@ -108,14 +110,14 @@
 	Spare:   3,
 }
 
-// run begins passes until ctx ends. The demand moves to other experts each two
-// seconds.
+// run begins passes until ctx ends. The demand moves to other experts each
+// shiftPasses passes.
 func (w *world) run(ctx context.Context) {
 	shift := 0
 	for n := 0; ctx.Err() == nil; n++ {
 		time.Sleep(passTime)
 		w.mu.Lock()
-		if n%40 == 0 {
+		if n%shiftPasses == 0 {
 			shift++
 		}
 		w.choose(shift)
