Hold a group before the very next pass but one if passes are long

Cause: a group was held two passes ahead at the least, one and a half on the average: 0.2 s and more while a shift makes passes long, which is when a map is switched. Ruled out: the arming (0.05 to 0.19 s, done meanwhile; the group waits for it, held). Now it is held one pass ahead at the least and 0.11 s on the average as before. Should that pass have begun before the order comes, which the rank says, a later one is taken. Test: TestMapFollowsShift with 0.5 s in place of 0.6 s, which failed (0.55 s); the search over fates and the random walks pass.

--- a/group/switch.go
+++ b/group/switch.go
@@ -30,9 +30,11 @@
 	// holdTimeout bounds the time in which one rank is told to hold the group.
 	holdTimeout = time.Second
 	// leadTime is how far ahead a group is held, leadPasses the least number of
-	// passes that this takes.
-	leadTime   = 110 * time.Millisecond
-	leadPasses = 2
+	// passes that this takes, and unknownLead their number while the time of a pass
+	// is not known.
+	leadTime    = 110 * time.Millisecond
+	leadPasses  = 1
+	unknownLead = 4
 )
 
 // Errors of a switch.
@@ -138,7 +140,7 @@
 // lead returns how many passes ahead of the newest a group is held.
 func (s *switcher) lead() foxtailstack.Step {
 	if s.pass <= 0 {
-		return 2 * leadPasses
+		return unknownLead
 	}
 	return leadPasses + foxtailstack.Step(leadTime/s.pass)
 }
@@ -152,7 +154,8 @@
 	return others[0]
 }
 
-// hold has a rank hold the group before a pass that lies ahead.
+// hold has a rank hold the group before a pass that lies ahead. If that has begun
+// before the order comes, it has the group held before a later one.
 func (s *switcher) hold(ctx context.Context, holder foxtailstack.Rank) (foxtailstack.Step, error) {
 	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
@@ -176,6 +179,11 @@
 		if err == nil && report.Held && report.HeldStep == step {
 			return step, nil
 		}
+		if refused && err == nil && !report.Held && report.Step >= step {
+			step = report.Step + s.lead()
+			order.Step = step
+			continue
+		}
 		if refused {
 			return 0, fmt.Errorf("hold before pass %d: %w", step, ErrUnfit)
 		}
--- a/group/switch_test.go
+++ b/group/switch_test.go
@@ -37,11 +37,11 @@
 
 // Pattern: other experts are in demand each two seconds, and until the map follows,
 // every pass waits for the rank that holds them. The new map takes a copy of 0.15 s
-// and is in force within 0.6 s of each shift.
+// and is in force within half a second of each shift.
 func TestMapFollowsShift(t *testing.T) {
 	const (
 		shifts = 8
-		soon   = 600 * time.Millisecond
+		soon   = 500 * time.Millisecond
 	)
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(4)
