--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -166,26 +166,10 @@
 
 // peer returns what is known of an upstream. The caller holds mu.
 func (b *Board) peer(name foxtailstack.UpstreamName) *peer {
-	if b.peers == nil {
-		b.peers = make(map[foxtailstack.UpstreamName]*peer)
-	}
-	p, ok := b.peers[name]
-	if !ok {
-		p = &peer{}
-		b.peers[name] = p
-	}
-	return p
+	return entryOf(&b.peers, name)
 }
 
 // queue returns the queue of a service. The caller holds mu.
 func (b *Board) queue(service foxtailstack.ServiceName) *queue {
-	if b.services == nil {
-		b.services = make(map[foxtailstack.ServiceName]*queue)
-	}
-	q, ok := b.services[service]
-	if !ok {
-		q = &queue{}
-		b.services[service] = q
-	}
-	return q
+	return entryOf(&b.services, service)
 }
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -140,28 +140,25 @@
 
 // gate returns the gate of a group.
 func (q *queue) gate(group GroupName) *gate {
-	if q.gates == nil {
-		q.gates = make(map[GroupName]*gate)
-	}
-	g, ok := q.gates[group]
-	if !ok {
-		g = &gate{}
-		q.gates[group] = g
-	}
-	return g
+	return entryOf(&q.gates, group)
 }
 
 // stake returns this process's stake in a group.
 func (q *queue) stake(group GroupName) *stake {
-	if q.stakes == nil {
-		q.stakes = make(map[GroupName]*stake)
+	return entryOf(&q.stakes, group)
+}
+
+// entryOf returns the value of a key, which is a new zero one if there was none.
+func entryOf[K comparable, V any](m *map[K]*V, key K) *V {
+	if *m == nil {
+		*m = make(map[K]*V)
 	}
-	s, ok := q.stakes[group]
+	v, ok := (*m)[key]
 	if !ok {
-		s = &stake{}
-		q.stakes[group] = s
+		v = new(V)
+		(*m)[key] = v
 	}
-	return s
+	return v
 }
 
 // resume goes on with the rate after nobody has waited, if that was a short while.
