--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -88,8 +88,10 @@
 	switch {
 	case errors.Is(err, errStill):
 		outcome = dispatch.Stalled
+		stillTotal.Inc()
 	case errors.Is(err, errSlow):
 		outcome = dispatch.Abandoned
+		slowTotal.Inc()
 	}
 	ticket.Done(dispatch.Report{Outcome: outcome})
 	return again
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -14,6 +14,8 @@
 	resumesTotal  = metrics.NewCounter("foxtailstack_gateway_resumes_total")
 	eventsTotal   = metrics.NewCounter("foxtailstack_gateway_events_total")
 	noRetryTotal  = metrics.NewCounter("foxtailstack_gateway_retries_denied_total")
+	stillTotal    = metrics.NewCounter(`foxtailstack_gateway_leaves_total{reason="still"}`)
+	slowTotal     = metrics.NewCounter(`foxtailstack_gateway_leaves_total{reason="slow"}`)
 	firstSeconds  = metrics.NewHistogram("foxtailstack_gateway_first_seconds")
 	answerSeconds = metrics.NewHistogram("foxtailstack_gateway_answer_seconds")
 	waitSeconds   = metrics.NewHistogram("foxtailstack_gateway_wait_seconds")
