--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// stallCheck is the time between two looks at a stream that waits.
+	// stallCheck is the time between two looks at whether a stream should leave its rank.
 	stallCheck = 100 * time.Millisecond
 	// stallTime is how long a stream of a group makes no progress at the least until
 	// it goes on at another rank, and stallPasses how many passes the group makes in
--- a/gateway/leave_test.go
+++ b/gateway/leave_test.go
@@ -13,11 +13,12 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// stillTime is how long a rank that stands still does so, passTime how often its
-// group makes a pass.
+// stillTime is how long a rank that stands still does so, callerTime how long its
+// callers wait, and passTime how often its group makes a pass.
 const (
-	stillTime = 3 * time.Second
-	passTime  = 20 * time.Millisecond
+	stillTime  = 3 * time.Second
+	callerTime = 2 * time.Second
+	passTime   = 20 * time.Millisecond
 )
 
 // beat lets the group of a model make passes, as its other streams show, until the
@@ -160,12 +161,14 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c := &calls{}
 			var s *site
 			worker := each(c, stillAfter(test.last, func(rank string) {
 				s.tell(rank, test.told)
 			}), served)
 			s = newSiteOf(t, "models", worker, worker, worker)
+			s.deadline = callerTime
 			s.gateway.Budget.Slack = test.budget
 			if test.budget == 0 {
 				s.gateway.Budget.Ratio = 0
