Move the quarantine of requests out of package entry

The entry of the users' machines (gateway) needs the same record of crashes; with the logic in a package of its own it will exist once.

--- a/entry/claim_test.go
+++ b/entry/claim_test.go
@@ -12,6 +12,7 @@
 	"github.com/foxtailstack/foxtailstack/booking"
 	"github.com/foxtailstack/foxtailstack/fleet"
 	"github.com/foxtailstack/foxtailstack/internal/memstore"
+	"github.com/foxtailstack/foxtailstack/quarantine"
 	"github.com/foxtailstack/foxtailstack/timeline"
 	"github.com/foxtailstack/foxtailstack/upstream"
 	"github.com/foxtailstack/foxtailstack/wire"
@@ -44,7 +45,7 @@
 					out: &response{w: httptest.NewRecorder()},
 				}
 				s.Chooser = discardChooser{}
-				err := p.attempt(ctx, fleet.Member{}, admission{})
+				err := p.attempt(ctx, fleet.Member{}, quarantine.Admission{})
 				_, err2 := s.Recorder.Claim(ctx, p.request.bookingKey(), booking.DigestOf(nil),
 					booking.Claim{Attempt: foxtailstack.NewAttemptID()}, p.request.replaceableVersion)
 				if (err2 == nil) != (lastFrame != nil) || (err2 != nil && !errors.Is(err2, booking.ErrClaimed)) {
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/quarantine"
 	"github.com/foxtailstack/foxtailstack/timeline"
 	"github.com/foxtailstack/foxtailstack/wire"
 )
@@ -37,7 +38,7 @@
 // Crash is a crash, or a possible one, of an upstream while it ran an attempt.
 type Crash struct {
 	// Fingerprint identifies the request.
-	Fingerprint Fingerprint               `cbor:"1,keyasint"`
+	Fingerprint quarantine.Fingerprint    `cbor:"1,keyasint"`
 	Attempt     foxtailstack.AttemptID    `cbor:"2,keyasint"`
 	Upstream    foxtailstack.UpstreamName `cbor:"3,keyasint"`
 	// ConnectionLost is set if the crash is inferred from the loss of the
@@ -45,6 +46,16 @@
 	ConnectionLost bool `cbor:"4,keyasint,omitempty"`
 }
 
+// record returns the crash in the form that the quarantine records.
+func (c Crash) record() quarantine.Crash {
+	return quarantine.Crash{
+		Fingerprint: c.Fingerprint,
+		ID:          quarantine.CrashID(c.Attempt.String()),
+		Upstream:    c.Upstream,
+		Inferred:    c.ConnectionLost,
+	}
+}
+
 // CrashReport is the message that reports crashes to another entry.
 type CrashReport struct {
 	Crashes []Crash `cbor:"1,keyasint"`
@@ -64,7 +75,7 @@
 		Attempt:  c.Attempt.String(),
 		Upstream: string(c.Upstream),
 	})
-	s.quarantine.addCrash(c)
+	s.quarantine.Add(c.record())
 	if s.Peers == nil {
 		return
 	}
@@ -103,7 +114,7 @@
 		return
 	}
 	for _, c := range message.Crashes {
-		s.quarantine.addCrash(c)
+		s.quarantine.Add(c.record())
 	}
 	_ = stream.Send(crashAck{}) // the sender may have disconnected
 }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/foxtailstack/foxtailstack/booking"
 	"github.com/foxtailstack/foxtailstack/fleet"
 	"github.com/foxtailstack/foxtailstack/internal/clock"
+	"github.com/foxtailstack/foxtailstack/quarantine"
 	"github.com/foxtailstack/foxtailstack/timeline"
 	"github.com/foxtailstack/foxtailstack/upstream"
 )
@@ -47,7 +48,7 @@
 	server      *Server
 	request     *request
 	out         *response
-	fingerprint Fingerprint
+	fingerprint quarantine.Fingerprint
 	// tried holds the upstreams of the attempts so far.
 	tried []foxtailstack.UpstreamName
 	// refusals counts the attempts that did not run, failures the other failed
@@ -78,22 +79,22 @@
 func (r *retrier) run(ctx context.Context) error {
 	var lastErr error = unsentError("", 0, ErrNoUpstream)
 	for {
-		admission, err := r.server.quarantine.admit(ctx, r.fingerprint)
+		admission, err := r.admit(ctx)
 		if err != nil {
 			return err
 		}
 		member, ok := r.server.Chooser.Choose(ctx, Query{
 			Service: r.request.serviceID,
 			Prompt:  r.request.body,
-			Avoid:   append(slices.Clone(r.tried), admission.crashedUpstreams...),
+			Avoid:   append(slices.Clone(r.tried), admission.Crashed...),
 		})
 		if !ok {
-			admission.release()
+			admission.Release()
 			return lastErr
 		}
 		triedBefore := slices.Contains(r.tried, member.ID.Upstream)
 		lastErr = r.attempt(ctx, member, admission)
-		admission.release()
+		admission.Release()
 		if lastErr == nil {
 			return nil
 		}
@@ -104,18 +105,37 @@
 	}
 }
 
+// admit returns the admission of one attempt. The error, if any, is an *AttemptError
+// that wraps ErrQuarantined or ErrNoUpstream.
+func (r *retrier) admit(ctx context.Context) (quarantine.Admission, error) {
+	admission, err := r.server.quarantine.Admit(ctx, r.fingerprint)
+	var refused *quarantine.RefusedError
+	switch {
+	case !errors.As(err, &refused):
+		return admission, err
+	case errors.Is(refused, quarantine.ErrQuarantined):
+		return admission, unsentError(upstream.ReasonQuarantined, refused.RetryAfter, ErrQuarantined)
+	}
+	return admission, unsentError(upstream.ReasonQuarantined, refused.RetryAfter, ErrNoUpstream)
+}
+
+// fingerprintOf returns the fingerprint of a request: that of its service and body.
+func fingerprintOf(req *request) quarantine.Fingerprint {
+	return quarantine.FingerprintOf([]byte(req.serviceID.String()), req.body)
+}
+
 // attempt makes one attempt. It passes the result to the time line, the Chooser,
 // the retry budget and the quarantine. For a non-idempotent request the returned
 // error is that of the booking (see resolveOutcome), and nil if the booking record
 // has an answer.
-func (r *retrier) attempt(ctx context.Context, member fleet.Member, admission admission) error {
+func (r *retrier) attempt(ctx context.Context, member fleet.Member, admission quarantine.Admission) error {
 	s := r.server
 	a := &attempt{
 		id:        foxtailstack.NewAttemptID(),
 		request:   r.request,
 		member:    member,
 		lastEvent: r.out.lastEvent,
-		suspect:   admission.suspect,
+		suspect:   admission.Suspect,
 		ring:      s.Ring,
 	}
 	r.tried = append(r.tried, member.ID.Upstream)
@@ -138,7 +158,7 @@
 	switch {
 	case err == nil:
 		s.retryBudgets.countSuccess(r.budgetKey())
-		s.quarantine.clear(r.fingerprint)
+		s.quarantine.Clear(r.fingerprint)
 	case errors.As(err, &attemptErr) && attemptErr.mayHaveCrashed():
 		s.recordCrash(ctx, Crash{
 			Fingerprint:    r.fingerprint,
@@ -168,7 +188,7 @@
 		r.refusals++
 		refusalsTotal.Inc()
 	}
-	if r.server.quarantine.quarantined(r.fingerprint) {
+	if r.server.quarantine.Quarantined(r.fingerprint) {
 		return 0, true // the next attempt is not admitted and returns ErrQuarantined
 	}
 	if ctx.Err() != nil || r.isFinal(attemptErr, triedBefore) {
--- a/entry/server.go
+++ b/entry/server.go
@@ -8,6 +8,7 @@
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/booking"
 	"github.com/foxtailstack/foxtailstack/fleet"
+	"github.com/foxtailstack/foxtailstack/quarantine"
 	"github.com/foxtailstack/foxtailstack/team"
 	"github.com/foxtailstack/foxtailstack/timeline"
 	"github.com/foxtailstack/foxtailstack/wire"
@@ -54,7 +55,7 @@
 
 	drainer       drainer
 	retryBudgets  retryBudgets
-	quarantine    quarantine
+	quarantine    quarantine.List
 	crashReporter crashReporter
 	teams         team.Index
 }
--- /dev/null
+++ b/quarantine/list.go
@@ -0,0 +1,248 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+)
+
+const (
+	// crashesToQuarantine is the number of crashes that put a request into
+	// quarantine.
+	crashesToQuarantine = 2
+	// crashTTL is the time after the last crash for which the crashes of a
+	// request count.
+	crashTTL = 10 * time.Minute
+	// inferredTTL replaces crashTTL if one of the crashes is only inferred from a
+	// lost connection. It is shorter because a network failure has the same effect
+	// on requests that are not the cause.
+	inferredTTL = 30 * time.Second
+	// maxRecords is the maximum number of requests with recorded crashes.
+	maxRecords = 1 << 12
+	// maxTurnWait is the maximum time that a suspect waits for an equal request
+	// to finish.
+	maxTurnWait = 2 * time.Second
+)
+
+// Errors of Admit.
+var (
+	// ErrQuarantined means that upstreams crashed while they ran equal requests.
+	ErrQuarantined = errors.New("request is quarantined after crashes of upstreams")
+	// ErrTurn means that an equal request runs, and that no other may run beside it
+	// because an upstream crashed under one of them.
+	ErrTurn = errors.New("an equal request has not finished in time")
+)
+
+// RefusedError is the refusal of a request. It wraps ErrQuarantined or ErrTurn.
+type RefusedError struct {
+	Err error
+	// RetryAfter is the time after which the caller may retry.
+	RetryAfter time.Duration
+}
+
+// Error returns the text of the error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("%v: retry after %s", e.Err, e.RetryAfter)
+}
+
+// Unwrap returns the underlying error.
+func (e *RefusedError) Unwrap() error {
+	return e.Err
+}
+
+// CrashID identifies a crash of an upstream. Reports with the same fingerprint and
+// CrashID are about one crash.
+type CrashID string
+
+// Crash is a crash of an upstream while it ran a request.
+type Crash struct {
+	Fingerprint Fingerprint
+	ID          CrashID
+	Upstream    foxtailstack.UpstreamName
+	// Inferred is set if the crash is only inferred from a lost connection.
+	Inferred bool
+}
+
+// record holds the crashes of upstreams while they ran equal requests.
+type record struct {
+	// crashes holds at most crashesToQuarantine crashes.
+	crashes   []Crash
+	lastCrash time.Time
+	// runDone is closed once the admitted suspect has finished. It is nil if no
+	// equal request runs.
+	runDone chan struct{}
+}
+
+// List records the requests that were running when upstreams crashed. A request with
+// one crash is a suspect: equal requests run one at a time. A request with two
+// crashes is in quarantine: it is refused until its record expires. The zero value is
+// empty. A List must not be copied after first use.
+type List struct {
+	mu      sync.Mutex
+	records map[Fingerprint]*record
+}
+
+// Admission is the permission to make one attempt. The holder calls Release when the
+// attempt has ended.
+type Admission struct {
+	// Suspect is set if an upstream crashed while it ran an equal request.
+	Suspect bool
+	// Crashed holds the upstreams that crashed.
+	Crashed []foxtailstack.UpstreamName
+	Release func()
+}
+
+// Admit returns the admission of one attempt of a request. A request in quarantine
+// is refused at once with ErrQuarantined. A suspect waits until no equal request
+// runs, and is refused with ErrTurn after maxTurnWait or once ctx ends. The error is
+// a *RefusedError.
+func (l *List) Admit(ctx context.Context, key Fingerprint) (Admission, error) {
+	ctx, cancel := context.WithTimeout(ctx, maxTurnWait)
+	defer cancel()
+	for {
+		granted, runDone, err := l.tryAdmit(key)
+		if runDone == nil {
+			return granted, err
+		}
+		select {
+		case <-runDone:
+		case <-ctx.Done():
+			return Admission{}, &RefusedError{
+				Err:        ErrTurn,
+				RetryAfter: maxTurnWait,
+			}
+		}
+	}
+}
+
+// tryAdmit returns an admission, an error, or a channel that is closed when
+// tryAdmit may be called again.
+func (l *List) tryAdmit(key Fingerprint) (Admission, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.record(key)
+	if r == nil {
+		return Admission{Release: func() {}}, nil, nil
+	}
+	if r.quarantined() {
+		return Admission{}, nil, &RefusedError{
+			Err:        ErrQuarantined,
+			RetryAfter: r.ttl() - time.Since(r.lastCrash),
+		}
+	}
+	if r.runDone != nil {
+		return Admission{}, r.runDone, nil
+	}
+	runDone := make(chan struct{})
+	r.runDone = runDone
+	return Admission{
+		Suspect: true,
+		Crashed: r.upstreams(),
+		Release: func() { l.release(r, runDone) },
+	}, nil, nil
+}
+
+// release ends the admission of a suspect, so that the next equal request may run.
+func (l *List) release(r *record, runDone chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.runDone = nil
+	close(runDone)
+}
+
+// Quarantined reports whether a request is in quarantine.
+func (l *List) Quarantined(key Fingerprint) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.record(key)
+	return r != nil && r.quarantined()
+}
+
+// Add records a crash. A second report of a crash that is already in the record has
+// no effect. Crashes beyond crashesToQuarantine are not kept, and each report of one
+// renews the time of the last crash.
+func (l *List) Add(c Crash) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.record(c.Fingerprint)
+	if r == nil {
+		l.makeRoom()
+		r = &record{}
+		l.records[c.Fingerprint] = r
+	}
+	if slices.ContainsFunc(r.crashes, func(known Crash) bool { return known.ID == c.ID }) {
+		return
+	}
+	r.lastCrash = time.Now()
+	if len(r.crashes) < crashesToQuarantine {
+		r.crashes = append(r.crashes, c)
+	}
+}
+
+// Clear removes the record of a suspect that has run without a crash. A request in
+// quarantine stays there.
+func (l *List) Clear(key Fingerprint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.record(key)
+	if r != nil && !r.quarantined() {
+		delete(l.records, key)
+	}
+}
+
+// record returns the record of a request, or nil if there is none or it has expired.
+// The caller holds mu.
+func (l *List) record(key Fingerprint) *record {
+	r := l.records[key]
+	if r != nil && time.Since(r.lastCrash) >= r.ttl() {
+		delete(l.records, key)
+		return nil
+	}
+	return r
+}
+
+// makeRoom ensures that one more record can be added. If there are maxRecords, it
+// removes the one with the oldest last crash. The caller holds mu.
+func (l *List) makeRoom() {
+	if l.records == nil {
+		l.records = make(map[Fingerprint]*record)
+	}
+	if len(l.records) < maxRecords {
+		return
+	}
+	var oldest Fingerprint
+	oldestTime := time.Now()
+	for key, r := range l.records {
+		if r.lastCrash.Before(oldestTime) {
+			oldest, oldestTime = key, r.lastCrash
+		}
+	}
+	delete(l.records, oldest)
+}
+
+// quarantined reports whether the request is in quarantine.
+func (r *record) quarantined() bool {
+	return len(r.crashes) >= crashesToQuarantine
+}
+
+// ttl returns the time after the last crash at which the record expires.
+func (r *record) ttl() time.Duration {
+	if slices.ContainsFunc(r.crashes, func(c Crash) bool { return c.Inferred }) {
+		return inferredTTL
+	}
+	return crashTTL
+}
+
+// upstreams returns the upstreams that crashed.
+func (r *record) upstreams() []foxtailstack.UpstreamName {
+	var names []foxtailstack.UpstreamName
+	for _, c := range r.crashes {
+		names = append(names, c.Upstream)
+	}
+	return names
+}
