Log which requests are equal, when upstreams started, and count granted retries

Lines of a request now carry the fingerprint of method, host, path, team and body, which stays the same at every entry; lines of upstreams carry their start, so that a restart shows; granted retries are counted beside denied ones. No decision changes.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -9,6 +9,7 @@
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/dispatch"
 	"github.com/foxtailstack/foxtailstack/exchange"
+	"github.com/foxtailstack/foxtailstack/quarantine"
 	"github.com/foxtailstack/foxtailstack/route"
 	"go.uber.org/zap"
 )
@@ -51,6 +52,8 @@
 	team        foxtailstack.TeamName
 	urgency     int
 	body        []byte
+	// fingerprint is set once the body has been read.
+	fingerprint quarantine.Fingerprint
 	arrived     time.Time
 	deadline    time.Time
 	service     foxtailstack.ServiceName
@@ -213,11 +216,12 @@
 		c.retryGranted = false
 		return true
 	}
-	allowed := c.gateway.RetryBudget.AllowRetry(c.service)
-	if !allowed {
+	if !c.gateway.RetryBudget.AllowRetry(c.service) {
 		retriesDeniedTotal.Inc()
+		return false
 	}
-	return allowed
+	retriesGrantedTotal.Inc()
+	return true
 }
 
 // logAttemptFailure logs why the current attempt failed.
@@ -226,6 +230,7 @@
 		zap.String("request", string(c.requestInfo.ID)),
 		zap.String("upstream", string(c.upstream)),
 		zap.Int64("event", c.stream.lastEventID),
+		zap.Stringer("fingerprint", c.fingerprint),
 		zap.Error(err))
 }
 
@@ -259,6 +264,7 @@
 		zap.Int("status", status),
 		zap.String("reason", string(reason)),
 		zap.Int("sends", c.sendCount),
+		zap.Stringer("fingerprint", c.fingerprint),
 		zap.Int64("events", c.stream.lastEventID),
 		zap.Duration("waited", c.queueTime),
 		zap.Duration("first", c.timeToFirstByte),
--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -82,8 +82,9 @@
 	}
 	c.retryGranted = c.gateway.RetryBudget.AllowRetry(c.service)
 	if !c.retryGranted {
-		return nil
+		return nil // not counted as denied: the check is repeated
 	}
+	retriesGrantedTotal.Inc()
 	return fault
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -16,6 +16,7 @@
 	sendsTotal             = metrics.NewCounter("foxtailstack_gateway_sends_total")
 	resumesTotal           = metrics.NewCounter("foxtailstack_gateway_resumes_total")
 	eventsTotal            = metrics.NewCounter("foxtailstack_gateway_events_total")
+	retriesGrantedTotal    = metrics.NewCounter("foxtailstack_gateway_retries_granted_total")
 	retriesDeniedTotal     = metrics.NewCounter("foxtailstack_gateway_retries_denied_total")
 	stalledLeavesTotal     = metrics.NewCounter(`foxtailstack_gateway_leaves_total{reason="still"}`)
 	slowLeavesTotal        = metrics.NewCounter(`foxtailstack_gateway_leaves_total{reason="slow"}`)
--- a/watch/view.go
+++ b/watch/view.go
@@ -155,6 +155,7 @@
 		zap.String("service", string(u.Service)),
 		zap.String("address", string(u.Address)),
 		zap.Bool("draining", u.Draining),
+		zap.Int64("start", u.StartUnixMilli),
 		zap.Uint64("version", uint64(record.Version)))
 }
 
