--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -38,6 +38,9 @@
 			continue
 		}
 		state := s.upstream(u.Name)
+		if request.Suspect && state.suspects > 0 {
+			continue
+		}
 		state.slots = u.Slots
 		if request.Grouped && !state.accepts(late, now) {
 			continue
@@ -63,11 +66,15 @@
 		return nil, breakerWait
 	}
 	bestState.addRunning(1, now)
+	if request.Suspect {
+		bestState.suspects++
+	}
 	reservation := &Reservation{
 		Upstream:  *best,
 		scheduler: s,
 		service:   request.Service,
 		breaker:   q.breaker(bestState.group),
+		suspect:   request.Suspect,
 	}
 	reservation.probe, _ = reservation.breaker.check(now)
 	if reservation.probe {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -67,6 +67,9 @@
 	TimeToFirstEvent time.Duration
 	// Excluded holds the upstreams that the request must not be sent to again.
 	Excluded map[foxtailstack.UpstreamName]bool
+	// Suspect is set for a request under which an upstream crashed. Suspects are not
+	// sent to one upstream at the same time, so that a crash tells them apart.
+	Suspect bool
 	// Only, unless it is empty, holds the only upstreams that the request may be
 	// sent to.
 	Only map[foxtailstack.UpstreamName]bool
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -48,6 +48,8 @@
 	scheduler *Scheduler
 	service   foxtailstack.ServiceName
 	breaker   *circuitBreaker
+	// suspect reports that the request is a suspect.
+	suspect bool
 	// probe reports that the request is a probe of a broken group.
 	probe bool
 }
@@ -61,6 +63,9 @@
 	now := time.Now()
 	state := s.upstream(r.Upstream.Name)
 	state.addRunning(-1, now)
+	if r.suspect {
+		state.suspects--
+	}
 	q := s.queue(r.service)
 	switch report.Outcome {
 	case Inconclusive:
--- a/dispatch/upstreamstate.go
+++ b/dispatch/upstreamstate.go
@@ -58,6 +58,8 @@
 	// running is the number of requests of this process at the upstream.
 	running        int
 	runningHistory valueHistory
+	// suspects is the number of suspects of this process at the upstream.
+	suspects int
 	// reportedOthers and reportedOwn are the numbers of requests of the other
 	// entries and of this one at reportedAt. slotQuota is the number of requests by
 	// which this entry may exceed reportedOwn.
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -78,6 +78,22 @@
 	}, nil
 }
 
+// Refuses reports whether an upstream refuses connections. An idle connection that is
+// still open shows that it does not; otherwise Refuses dials, and keeps the connection
+// for later requests. Errors other than a refusal, such as a timeout, count as none.
+func (p *Pool) Refuses(ctx context.Context, name foxtailstack.UpstreamName, address foxtailstack.Address) bool {
+	conn, err := p.Get(ctx, name, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	if conn.expires.IsZero() {
+		p.Put(name, conn, 0) // a new connection
+		return false
+	}
+	p.addIdle(name, conn)
+	return false
+}
+
 // Put returns a connection to the pool for reuse, or closes it if maxIdleConns to
 // the upstream are idle already. idleTimeout is the idle timeout that the upstream
 // reported; zero means defaultIdleTimeout. The connection expires idleMargin
@@ -88,6 +104,12 @@
 	}
 	conn.expires = time.Now().Add(idleTimeout - idleMargin)
 	conn.checked.clearCheck()
+	p.addIdle(name, conn)
+}
+
+// addIdle adds an idle connection to the pool, or closes it if maxIdleConns to the
+// upstream are idle already.
+func (p *Pool) addIdle(name foxtailstack.UpstreamName, conn *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
--- a/feed.go
+++ b/feed.go
@@ -33,6 +33,15 @@
 	Changes(ctx context.Context, table string, after StoreVersion, wait time.Duration) ([]Record, StoreVersion, error)
 }
 
+// RecordWriter writes rows of tables of the platform's store.
+type RecordWriter interface {
+	// Write writes rows of a table, of which only Name and Value count, and removes the
+	// rows with the given names, all or none of them. There is no condition on what the
+	// rows hold. The error wraps ErrUnavailable if nothing was done, and ErrUncertain if
+	// that is not known.
+	Write(ctx context.Context, table string, records []Record, remove []string) error
+}
+
 // Election elects a leader among processes by a row in the platform's store: the leader
 // is the process whose Claim succeeded last, and its fencing token is the version of
 // the row that Claim returned.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -28,6 +28,7 @@
 	if c.stream.headerSent {
 		resumesTotal.Inc()
 	}
+	c.responseBegun = false
 	c.setLeaveCheck(conn)
 	in, err := conn.Send(c.outgoing(u), c.gateway.Codec)
 	if err != nil {
@@ -39,6 +40,7 @@
 		return c.notRun(reservation, conn, in)
 	}
 	c.mayHaveRun[u.Name] = true
+	c.responseBegun = true
 	return c.relay(ctx, reservation, conn, in, began)
 }
 
@@ -76,6 +78,7 @@
 // full.
 func (c *call) failed(ctx context.Context, reservation *dispatch.Reservation, err error) attemptResult {
 	c.mayHaveRun[reservation.Upstream.Name] = true
+	c.checkCrash(ctx, reservation.Upstream, err)
 	if c.r.Context().Err() != nil {
 		reservation.Release(dispatch.Report{}) // inconclusive
 		return resultGiveUp
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -13,6 +13,7 @@
 	"github.com/foxtailstack/foxtailstack/gateway"
 	"github.com/foxtailstack/foxtailstack/platform"
 	"github.com/foxtailstack/foxtailstack/platform/standin"
+	"github.com/foxtailstack/foxtailstack/quarantine"
 	"github.com/foxtailstack/foxtailstack/watch"
 	"go.uber.org/zap"
 )
@@ -36,6 +37,7 @@
 		View:        view,
 		Scheduler:   &dispatch.Scheduler{Fleet: view.Fleet},
 		RetryBudget: &dispatch.RetryBudget{},
+		Quarantine:  &quarantine.Table{List: &quarantine.List{}},
 		Pool:        &exchange.Pool{},
 		Codec:       platform.Codec{},
 		Now:         func() time.Duration { return 0 },
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -87,8 +87,10 @@
 	// timeToFirstByte is the time from the arrival of the request to the first
 	// bytes of the response; zero before that.
 	timeToFirstByte time.Duration
-	// upstream is the upstream of the latest attempt.
-	upstream foxtailstack.UpstreamName
+	// upstream is the upstream of the latest attempt, and responseBegun reports that it
+	// has sent the header of a response.
+	upstream      foxtailstack.UpstreamName
+	responseBegun bool
 }
 
 // attemptResult states how the request continues after an attempt.
@@ -116,12 +118,14 @@
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline.Add(responseGrace))
 	defer cancel()
 	for {
-		reservation, err := c.acquire(ctx)
+		reservation, admission, err := c.reserve(ctx)
 		if err != nil {
 			c.giveUp(ctx, err)
 			return
 		}
-		switch c.attempt(ctx, reservation) {
+		result := c.attempt(ctx, reservation)
+		admission.Release()
+		switch result {
 		case resultServed:
 			return
 		case resultGiveUp:
@@ -153,15 +157,48 @@
 	return timeout
 }
 
+// reserve returns a reservation at an upstream and the admission for it. If an upstream
+// crashes under an equal request while this one waits, it needs a new admission.
+func (c *call) reserve(ctx context.Context) (*dispatch.Reservation, quarantine.Admission, error) {
+	for {
+		admission, err := c.gateway.Quarantine.List.Admit(ctx, c.fingerprint)
+		if err != nil {
+			return nil, admission, err
+		}
+		reservation, err := c.acquireAs(ctx, admission)
+		outdated := admission.Outdated.Err() != nil
+		if !outdated && err == nil {
+			return reservation, admission, nil
+		}
+		admission.Release()
+		if err == nil {
+			reservation.Release(dispatch.Report{}) // inconclusive
+		}
+		if !outdated || ctx.Err() != nil {
+			return nil, admission, err
+		}
+	}
+}
+
+// acquireAs waits for a reservation until the admission is outdated.
+func (c *call) acquireAs(ctx context.Context, admission quarantine.Admission) (*dispatch.Reservation, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(admission.Outdated, cancel)
+	defer stop()
+	return c.acquire(ctx, admission.Suspect)
+}
+
 // acquire waits for a reservation at an upstream. Once the request was sent to as
 // many upstreams as the route allows, it may go only to these again, and of these
 // only to those that did not run it.
-func (c *call) acquire(ctx context.Context) (*dispatch.Reservation, error) {
+func (c *call) acquire(ctx context.Context, suspect bool) (*dispatch.Reservation, error) {
 	request := dispatch.Request{
 		Service:  c.service,
 		Grouped:  c.cfg.Services[c.service].Group != nil,
 		Urgency:  c.urgency,
 		Excluded: c.mayHaveRun,
+		Suspect:  suspect,
 		Deadline: c.deadline,
 	}
 	if group := c.cfg.Services[c.service].Group; group != nil {
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -9,6 +9,8 @@
 // only if the route permits that, and not more often than the route allows. Retries
 // of both kinds are also limited by the number of failed connections and refusals
 // and, once anything was sent, by the retry budget.
+// A request under which upstreams crashed before, at any entry, is refused (see package
+// quarantine).
 // Streams are relayed event by event and resume at another upstream after a break.
 //
 // The status of a failed request states whether it may have run: 503 if it did not
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,10 @@
 	RetryBudget *dispatch.RetryBudget
 	Pool        *exchange.Pool
 	Codec       exchange.Codec
+	// Quarantine admits requests and keeps those that crash upstreams away from further
+	// ones, Crashes finds out which do.
+	Quarantine *quarantine.Table
+	Crashes    *quarantine.Detector
 	// KeyRevocation is the time within which a revoked key must stop working. Zero
 	// disables the check of the configuration's age.
 	KeyRevocation time.Duration
@@ -190,6 +194,8 @@
 	reasonUpstreamFailure    endReason = "upstream-answered"
 	reasonStreamBroken       endReason = "stream-broken"
 	reasonCallerDisconnected endReason = "caller-left"
+	reasonQuarantined        endReason = "quarantined"
+	reasonEqualRuns          endReason = "equal-request-runs"
 )
 
 // Values of the Retry-After header.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"github.com/foxtailstack/foxtailstack/gateway"
 	"github.com/foxtailstack/foxtailstack/platform"
 	"github.com/foxtailstack/foxtailstack/platform/standin"
+	"github.com/foxtailstack/foxtailstack/quarantine"
 	"github.com/foxtailstack/foxtailstack/watch"
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
@@ -57,6 +58,11 @@
 		Log: zap.NewNop(),
 	}
 	scheduler := &dispatch.Scheduler{Fleet: tg.view.Fleet}
+	pool := &exchange.Pool{}
+	crashes := &quarantine.Table{
+		List: &quarantine.List{},
+		Log:  zap.NewNop(),
+	}
 	tg.gateway = &gateway.Gateway{
 		View:      tg.view,
 		Scheduler: scheduler,
@@ -65,7 +71,13 @@
 			Window: time.Second,
 			Slack:  100,
 		},
-		Pool:          &exchange.Pool{},
+		Pool:       pool,
+		Quarantine: crashes,
+		Crashes: &quarantine.Detector{
+			Fleet:  tg.view.Fleet,
+			Prober: pool,
+			Report: crashes.Report,
+		},
 		Codec:         platform.Codec{},
 		KeyRevocation: 5 * time.Second,
 		Now:           func() time.Duration { return tg.age },
--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/foxtailstack/foxtailstack/dispatch"
+	"github.com/foxtailstack/foxtailstack/quarantine"
 	"go.uber.org/zap"
 )
 
@@ -16,6 +17,7 @@
 // Otherwise it relays the last error response of an upstream if there is one, or
 // else responds with a status that states whether the request may have run.
 func (c *call) giveUp(ctx context.Context, err error) {
+	var refused *quarantine.RefusedError
 	switch {
 	case c.r.Context().Err() != nil:
 		gap, _ := c.stream.sinceLastEvent(time.Now())
@@ -31,6 +33,8 @@
 		c.respondError(http.StatusGatewayTimeout, reasonTimeout)
 	case len(c.mayHaveRun) > 0:
 		c.respondError(http.StatusBadGateway, reasonAllFailed)
+	case errors.As(err, &refused):
+		c.respondRefused(refused)
 	case errors.Is(err, dispatch.ErrOverloaded):
 		c.logOverload(err)
 		c.respondUnavailable(reasonOverloaded, c.overloadRetryAfter())
@@ -43,6 +47,15 @@
 	}
 }
 
+// respondRefused responds to a request that the quarantine refused.
+func (c *call) respondRefused(refused *quarantine.RefusedError) {
+	reason := reasonQuarantined
+	if errors.Is(refused, quarantine.ErrTurn) {
+		reason = reasonEqualRuns
+	}
+	c.respondUnavailable(reason, refused.RetryAfter)
+}
+
 // overloadRetryAfter returns the Retry-After for a full queue. The delay lets the
 // queue shrink and is randomized against a thundering herd of retries. It is at
 // most the remaining time of the request divided by retryAfterDivisor, so that the
--- /dev/null
+++ b/gateway/quarantine_test.go
@@ -0,0 +1,109 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack/platform/standin"
+	"github.com/foxtailstack/foxtailstack/quarantine"
+	"github.com/google/go-cmp/cmp"
+)
+
+// recordCrashes records crashes of upstreams under a request.
+func recordCrashes(tg *testGateway, key quarantine.Fingerprint, ids ...quarantine.CrashID) {
+	for _, id := range ids {
+		tg.gateway.Quarantine.Report(quarantine.Crash{
+			Fingerprint: key,
+			ID:          id,
+		})
+	}
+}
+
+// fingerprint returns the fingerprint of the request that send sends to a path.
+func fingerprint(path string) quarantine.Fingerprint {
+	return quarantine.FingerprintOf(
+		[]byte(http.MethodPost),
+		[]byte(standin.ConfigHost),
+		[]byte(path),
+		[]byte(standin.ConfigTeam),
+		[]byte("question"),
+	)
+}
+
+// Guards against requests in quarantine that are sent on, or refused in a way that
+// promises nothing or hides when to come back.
+func TestQuarantinedRequestIsRefused(t *testing.T) {
+	c := &callCounter{}
+	tg := newTestGateway(t, inOrder(c, good))
+	recordCrashes(tg, fingerprint("/lookup/x"), "v@1", "w@1")
+	want := callerResponse{
+		Status:     http.StatusServiceUnavailable,
+		Body:       "quarantined\n",
+		RetryAfter: true,
+	}
+	if diff := cmp.Diff(want, tg.send(t, http.MethodPost, "/lookup/x")); diff != "" {
+		t.Errorf("response differs (-want +got):\n%s", diff)
+	}
+	want = callerResponse{
+		Status: http.StatusOK,
+		Body:   "answer",
+	}
+	if diff := cmp.Diff(want, tg.send(t, http.MethodPost, "/lookup/y")); diff != "" {
+		t.Errorf("response to another request differs (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(1, c.count()); diff != "" {
+		t.Errorf("requests at upstreams (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a request that waits for an upstream until its deadline though it was
+// put into quarantine meanwhile, and against one that is sent then.
+func TestQuarantineEndsWait(t *testing.T) {
+	release := make(chan struct{})
+	entered := make(chan struct{})
+	tg := newTestGatewayFor(t, "models", func(w http.ResponseWriter, r *http.Request) {
+		close(entered)
+		<-release
+		good(w, r)
+	})
+	tg.timeout = 5 * time.Second
+	// The only upstream runs another suspect, so that this one has to wait.
+	key := fingerprint("/model/x")
+	recordCrashes(tg, key, "v@1")
+	recordCrashes(tg, fingerprint("/model/y"), "v@1")
+	done := make(chan callerResponse, 1)
+	go func() { done <- tg.send(t, http.MethodPost, "/model/y") }()
+	<-entered
+	time.AfterFunc(100*time.Millisecond, func() { recordCrashes(tg, key, "w@1") })
+	began := time.Now()
+	want := callerResponse{
+		Status:     http.StatusServiceUnavailable,
+		Body:       "quarantined\n",
+		RetryAfter: true,
+	}
+	if diff := cmp.Diff(want, tg.send(t, http.MethodPost, "/model/x")); diff != "" {
+		t.Errorf("response differs (-want +got):\n%s", diff)
+	}
+	if waited := time.Since(began); waited > time.Second {
+		t.Errorf("it was refused after %s, want at once", waited)
+	}
+	close(release)
+	<-done
+}
+
+// Guards against requests that are put into quarantine because their connections are
+// lost while the upstreams go on.
+func TestLostConnectionsDoNotQuarantine(t *testing.T) {
+	c := &callCounter{}
+	worker := inOrder(c, crash, truncated, good)
+	tg := newTestGateway(t, worker, worker)
+	tg.send(t, http.MethodPost, "/lookup/x") // to both
+	want := callerResponse{
+		Status: http.StatusOK,
+		Body:   "answer",
+	}
+	if diff := cmp.Diff(want, tg.send(t, http.MethodPost, "/lookup/x")); diff != "" {
+		t.Errorf("response differs (-want +got):\n%s", diff)
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -25,9 +25,11 @@
 	maxEvent = 1 << 20
 )
 
-// Errors of responses. After either of them the request may have run.
+// Errors of responses. After each of them the request may have run.
 var (
 	errUnproven       = errors.New("response lacks the upstream's proof of origin or has a content encoding")
+	errTooLong        = errors.New("response is longer than can be buffered")
+	errBrokenOff      = errors.New("response broke off")
 	errTruncatedEvent = errors.New("stream ended within an event, or the event is too long")
 )
 
@@ -78,10 +80,15 @@
 		return c.relayStream(ctx, reservation, conn, in)
 	}
 	body, err := io.ReadAll(io.LimitReader(in.Body, maxBufferedBody))
-	if err != nil || len(body) == maxBufferedBody {
+	if err != nil {
 		conn.Close()
-		return c.failed(ctx, reservation, fmt.Errorf("read the response body: %w", err))
+		return c.failed(ctx, reservation, fmt.Errorf("%w: %w", errBrokenOff, err))
 	}
+	if len(body) == maxBufferedBody {
+		conn.Close()
+		return c.failed(ctx, reservation, errTooLong)
+	}
+	c.gateway.Quarantine.Clear(c.fingerprint)
 	in.Finish(c.gateway.Pool, reservation.Upstream.Name, conn)
 	response := &bufferedResponse{
 		status: in.Status,
@@ -125,7 +132,7 @@
 		}
 		if err != nil {
 			conn.Close()
-			return c.failed(ctx, reservation, fmt.Errorf("stream broke: %w", err))
+			return c.failed(ctx, reservation, fmt.Errorf("%w: %w", errBrokenOff, err))
 		}
 		if !c.sendEvent(event, in.Header) {
 			conn.Close()
@@ -134,6 +141,7 @@
 		}
 	}
 	in.Finish(c.gateway.Pool, reservation.Upstream.Name, conn)
+	c.gateway.Quarantine.Clear(c.fingerprint)
 	reservation.Release(dispatch.Report{Outcome: dispatch.Answered})
 	if !c.stream.headerSent {
 		c.startStream(in.Header)
--- a/logbook/events_test.go
+++ b/logbook/events_test.go
@@ -8,11 +8,11 @@
 	"testing"
 )
 
-// message matches a call that logs an event; its group is the message. logAttemptFailure
-// and logUpstream are functions of packages gateway and watch that take the message as an
-// argument. If one of them is renamed, the pattern has to be changed too: the test would
+// message matches a call that logs an event; its group is the message. logAttemptFailure,
+// logUpstream and logCrash are functions of packages gateway, watch and quarantine that
+// take the message as an argument. If one of them is renamed, the pattern has to be changed too: the test would
 // skip their messages, and the least number of events below may not show it.
-var message = regexp.MustCompile(`(?:[lL]og(?:ger\(\))?\.(?:Info|Warn|Error|Debug)|logAttemptFailure|logUpstream)\("([^"]+)"`)
+var message = regexp.MustCompile(`(?:[lL]og(?:ger\(\))?\.(?:Info|Warn|Error|Debug)|logAttemptFailure|logUpstream|logCrash)\("([^"]+)"`)
 
 // Every message logged by the packages of the entry and sidecar processes is listed in
 // docs/OPERATIONS.md.
@@ -22,7 +22,7 @@
 		t.Fatal(err)
 	}
 	seen := 0
-	for _, folder := range []string{"dispatch", "gateway", "group", "watch", "machine"} {
+	for _, folder := range []string{"dispatch", "gateway", "group", "quarantine", "watch", "machine"} {
 		paths, err := filepath.Glob(filepath.Join("..", folder, "*.go"))
 		if err != nil {
 			t.Fatal(err)
--- a/machine/entry.go
+++ b/machine/entry.go
@@ -18,6 +18,7 @@
 	"github.com/foxtailstack/foxtailstack/group"
 	"github.com/foxtailstack/foxtailstack/internal/clock"
 	"github.com/foxtailstack/foxtailstack/platform"
+	"github.com/foxtailstack/foxtailstack/quarantine"
 	"github.com/foxtailstack/foxtailstack/watch"
 	"go.uber.org/zap"
 )
@@ -33,6 +34,9 @@
 	pollsPerRevocation = 3
 	// fleetPollTimeout is the long-poll timeout for the list of upstreams.
 	fleetPollTimeout = 2500 * time.Millisecond
+	// crashPollTimeout is the long-poll timeout for the crashes that entries share. A
+	// connection that silently stopped working shows after it.
+	crashPollTimeout = 2500 * time.Millisecond
 	// drainDelay is the longest time that an entry still accepts connections after the
 	// request to stop, so that the platform can see that it is not ready and stop sending
 	// callers. The time is half the grace period if that is shorter.
@@ -63,6 +67,7 @@
 	view              *watch.View
 	scheduler         *dispatch.Scheduler
 	pool              *exchange.Pool
+	crashes           *quarantine.Table
 	gateway           *gateway.Gateway
 	callerListener    net.Listener
 	readinessListener net.Listener
@@ -82,7 +87,23 @@
 		Fleet: e.view.Fleet,
 		Log:   log,
 	}
-	e.view.OnFleetChange = e.scheduler.FleetChanged
+	e.crashes = &quarantine.Table{
+		List:      &quarantine.List{},
+		Writer:    platform.NewStore(cfg.StoreURL),
+		Name:      platform.TableCrashes,
+		MaxWrites: platform.MaxWrites,
+		Instance:  cfg.Name,
+		Log:       log,
+	}
+	detector := &quarantine.Detector{
+		Fleet:  e.view.Fleet,
+		Prober: e.pool,
+		Report: e.crashes.Report,
+	}
+	e.view.OnFleetChange = func() {
+		e.scheduler.FleetChanged()
+		detector.FleetChanged()
+	}
 	e.gateway = &gateway.Gateway{
 		View:      e.view,
 		Scheduler: e.scheduler,
@@ -92,6 +113,8 @@
 			Slack:  cfg.Bounds.RetrySlack,
 		},
 		Pool:          e.pool,
+		Quarantine:    e.crashes,
+		Crashes:       detector,
 		Codec:         platform.Codec{},
 		KeyRevocation: cfg.Bounds.KeyRevocation,
 		Now:           clock.Boot,
@@ -177,7 +200,8 @@
 	return nil
 }
 
-// followStore starts to follow the configuration and the list of upstreams.
+// followStore starts to follow the configuration, the list of upstreams and the crashes
+// that entries share.
 func (e *Entry) followStore(ctx context.Context) {
 	store := platform.NewStore(e.settings.StoreURL)
 	configFollower := &watch.Follower{
@@ -199,8 +223,19 @@
 		Now:             clock.Boot,
 		Log:             e.log,
 	}
+	crashFollower := &watch.Follower{
+		Feed:            store,
+		Table:           platform.TableCrashes,
+		LongPollTimeout: crashPollTimeout,
+		Replace:         e.crashes.Replace,
+		Update:          e.crashes.Update,
+		Now:             clock.Boot,
+		Log:             e.log,
+	}
 	go configFollower.Run(ctx)
 	go fleetFollower.Run(ctx)
+	go crashFollower.Run(ctx)
+	go e.crashes.Run(ctx)
 }
 
 // watchGroups starts a group.Watcher for each service with a model group until ctx is
--- /dev/null
+++ b/quarantine/detector.go
@@ -0,0 +1,194 @@
+package quarantine
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/route"
+)
+
+const (
+	// probeTimeout bounds the time for which an attempt waits to learn whether its
+	// upstream refuses connections. A crash that shows later is still recorded.
+	probeTimeout = 100 * time.Millisecond
+	// probeTTL is how long the result of a probe holds for other attempts.
+	probeTTL = 200 * time.Millisecond
+	// unansweredTTL is the time within which an upstream must start again for its
+	// unanswered attempts to count as its crash. It covers a restart and the delay of
+	// the list of upstreams.
+	unansweredTTL = 20 * time.Second
+	// maxUnanswered is the maximum number of unanswered attempts that are kept.
+	maxUnanswered = 1 << 12
+)
+
+// Prober connects to upstreams.
+type Prober interface {
+	// Refuses reports whether an upstream refuses connections, as it does once its
+	// process has ended. It returns false if that is not certain.
+	Refuses(ctx context.Context, name foxtailstack.UpstreamName, address foxtailstack.Address) bool
+}
+
+// Detector finds out which attempts remained without an answer because their upstream
+// crashed. A lost connection alone does not show that, nor does silence: the upstream
+// has to refuse connections right after, or to announce a later start within
+// unansweredTTL. Upstreams that drain or have left the list end as planned; that is no
+// crash. The fields must be set before use.
+type Detector struct {
+	// Fleet returns the present list of upstreams.
+	Fleet  func() *route.Fleet
+	Prober Prober
+	// Report receives each crash; a crash may be reported more than once.
+	Report func(Crash)
+
+	mu         sync.Mutex
+	unanswered []unanswered
+	probes     map[CrashID]*probe
+}
+
+// unanswered is an attempt without an answer whose upstream may have crashed.
+type unanswered struct {
+	fingerprint Fingerprint
+	upstream    route.Upstream
+	at          time.Time
+}
+
+// probe is the check of whether an upstream refuses connections.
+type probe struct {
+	// done is closed when the result is known.
+	done    chan struct{}
+	refused bool
+}
+
+// ConnectionLost records that the connection to an upstream was lost while it may have
+// been running a request. It returns when it is known whether the upstream refuses
+// connections, and after probeTimeout or the end of ctx at the latest.
+func (d *Detector) ConnectionLost(ctx context.Context, key Fingerprint, u route.Upstream) {
+	if d.leaving(u) {
+		return
+	}
+	if d.refuses(ctx, u) {
+		d.Report(newCrash(key, u))
+		return
+	}
+	d.Unanswered(key, u)
+}
+
+// Unanswered records that an upstream did not answer a request that it may have been
+// running.
+func (d *Detector) Unanswered(key Fingerprint, u route.Upstream) {
+	if d.leaving(u) {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.dropOld()
+	if len(d.unanswered) >= maxUnanswered {
+		return
+	}
+	d.unanswered = append(d.unanswered, unanswered{
+		fingerprint: key,
+		upstream:    u,
+		at:          time.Now(),
+	})
+}
+
+// FleetChanged reports the crashes that the present list of upstreams shows: an upstream
+// has started anew since an attempt that it did not answer.
+func (d *Detector) FleetChanged() {
+	var crashes []Crash
+	d.mu.Lock()
+	d.dropOld()
+	fleet := d.Fleet()
+	kept := d.unanswered[:0]
+	for _, a := range d.unanswered {
+		if fleet.StartedAfter(a.upstream) {
+			crashes = append(crashes, newCrash(a.fingerprint, a.upstream))
+			continue
+		}
+		kept = append(kept, a)
+	}
+	d.unanswered = kept
+	d.mu.Unlock()
+	for _, c := range crashes {
+		d.Report(c)
+	}
+}
+
+// leaving reports whether an upstream drains or has left the list.
+func (d *Detector) leaving(u route.Upstream) bool {
+	current, ok := d.Fleet().Lookup(u.Name)
+	return !ok || current.Draining
+}
+
+// dropOld drops the attempts that ended unansweredTTL ago. The caller holds mu.
+func (d *Detector) dropOld() {
+	old := 0
+	for old < len(d.unanswered) && time.Since(d.unanswered[old].at) > unansweredTTL {
+		old++
+	}
+	d.unanswered = d.unanswered[old:]
+}
+
+// refuses reports whether an upstream refuses connections. Attempts that ask at nearly
+// the same time share one probe.
+func (d *Detector) refuses(ctx context.Context, u route.Upstream) bool {
+	id := crashIDOf(u)
+	d.mu.Lock()
+	p, ok := d.probes[id]
+	if !ok {
+		p = &probe{done: make(chan struct{})}
+		if d.probes == nil {
+			d.probes = make(map[CrashID]*probe)
+		}
+		d.probes[id] = p
+		go d.runProbe(p, id, u)
+	}
+	d.mu.Unlock()
+	select {
+	case <-p.done:
+		return p.refused
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// runProbe makes a probe and removes it after probeTTL.
+func (d *Detector) runProbe(p *probe, id CrashID, u route.Upstream) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	p.refused = d.Prober.Refuses(ctx, u.Name, u.Address)
+	cancel()
+	close(p.done)
+	time.AfterFunc(probeTTL, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.probes, id)
+	})
+}
+
+// newCrash returns the crash of an upstream while it ran a request.
+func newCrash(key Fingerprint, u route.Upstream) Crash {
+	return Crash{
+		Fingerprint: key,
+		ID:          crashIDOf(u),
+		Upstream:    u.Name,
+	}
+}
+
+// startSeparator stands between the name and the start of an upstream in a CrashID.
+const startSeparator = "@"
+
+// crashIDOf identifies the crash of an upstream by its incarnation, which can crash only
+// once.
+func crashIDOf(u route.Upstream) CrashID {
+	return CrashID(string(u.Name) + startSeparator + strconv.FormatInt(u.StartUnixMilli, 10))
+}
+
+// upstream returns the upstream that crashed.
+func (id CrashID) upstream() foxtailstack.UpstreamName {
+	end := strings.LastIndex(string(id), startSeparator)
+	return foxtailstack.UpstreamName(id[:max(end, 0)])
+}
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -22,8 +22,10 @@
 	// lost connection. It is shorter because a network failure has the same effect
 	// on requests that are not the cause.
 	inferredTTL = 30 * time.Second
-	// maxRecords is the maximum number of requests with recorded crashes.
+	// maxRecords is the maximum number of requests with recorded crashes, and
+	// maxCrashes that of the crashes of one request.
 	maxRecords = 1 << 12
+	maxCrashes = 1 << 4
 	// maxTurnWait is the maximum time that a suspect waits for an equal request
 	// to finish.
 	maxTurnWait = 2 * time.Second
@@ -70,7 +72,7 @@
 
 // record holds the crashes of upstreams while they ran equal requests.
 type record struct {
-	// crashes holds at most crashesToQuarantine crashes.
+	// crashes holds at most maxCrashes crashes.
 	crashes   []Crash
 	lastCrash time.Time
 	// runDone is closed once the admitted suspect has finished. It is nil if no
@@ -78,6 +80,14 @@
 	runDone chan struct{}
 }
 
+// watch ends when a crash of a request is recorded that its holders have been admitted
+// without.
+type watch struct {
+	ctx     context.Context
+	cancel  context.CancelFunc
+	holders int
+}
+
 // List records the requests that were running when upstreams crashed. A request with
 // one crash is a suspect: equal requests run one at a time. A request with two
 // crashes is in quarantine: it is refused until its record expires. The zero value is
@@ -85,6 +95,8 @@
 type List struct {
 	mu      sync.Mutex
 	records map[Fingerprint]*record
+	// watches holds the watches of the admissions that have not been released.
+	watches map[Fingerprint]*watch
 }
 
 // Admission is the permission to make one attempt. The holder calls Release when the
@@ -94,7 +106,10 @@
 	Suspect bool
 	// Crashed holds the upstreams that crashed.
 	Crashed []foxtailstack.UpstreamName
-	Release func()
+	// Outdated ends when another crash of an equal request is recorded. An attempt that
+	// has not been sent by then needs a new admission.
+	Outdated context.Context
+	Release  func()
 }
 
 // Admit returns the admission of one attempt of a request. A request in quarantine
@@ -102,13 +117,13 @@
 // runs, and is refused with ErrTurn after maxTurnWait or once ctx ends. The error is
 // a *RefusedError.
 func (l *List) Admit(ctx context.Context, key Fingerprint) (Admission, error) {
+	granted, runDone, err := l.tryAdmit(key)
+	if runDone == nil {
+		return granted, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, maxTurnWait)
 	defer cancel()
-	for {
-		granted, runDone, err := l.tryAdmit(key)
-		if runDone == nil {
-			return granted, err
-		}
+	for runDone != nil {
 		select {
 		case <-runDone:
 		case <-ctx.Done():
@@ -117,7 +132,9 @@
 				RetryAfter: maxTurnWait,
 			}
 		}
+		granted, runDone, err = l.tryAdmit(key)
 	}
+	return granted, err
 }
 
 // tryAdmit returns an admission, an error, or a channel that is closed when
@@ -127,7 +144,11 @@
 	defer l.mu.Unlock()
 	r := l.record(key)
 	if r == nil {
-		return Admission{Release: func() {}}, nil, nil
+		w := l.addHolder(key)
+		return Admission{
+			Outdated: w.ctx,
+			Release:  func() { l.release(key, w, nil) },
+		}, nil, nil
 	}
 	if r.quarantined() {
 		return Admission{}, nil, &RefusedError{
@@ -138,21 +159,46 @@
 	if r.runDone != nil {
 		return Admission{}, r.runDone, nil
 	}
-	runDone := make(chan struct{})
-	r.runDone = runDone
+	r.runDone = make(chan struct{})
+	w := l.addHolder(key)
 	return Admission{
-		Suspect: true,
-		Crashed: r.upstreams(),
-		Release: func() { l.release(r, runDone) },
+		Suspect:  true,
+		Crashed:  r.upstreams(),
+		Outdated: w.ctx,
+		Release:  func() { l.release(key, w, r) },
 	}, nil, nil
 }
 
-// release ends the admission of a suspect, so that the next equal request may run.
-func (l *List) release(r *record, runDone chan struct{}) {
+// addHolder returns the watch of a request for a new admission. The caller holds mu.
+func (l *List) addHolder(key Fingerprint) *watch {
+	w, ok := l.watches[key]
+	if !ok {
+		w = &watch{}
+		w.ctx, w.cancel = context.WithCancel(context.Background())
+		if l.watches == nil {
+			l.watches = make(map[Fingerprint]*watch)
+		}
+		l.watches[key] = w
+	}
+	w.holders++
+	return w
+}
+
+// release ends an admission. The record is that of a suspect, whose turn ends, or nil.
+func (l *List) release(key Fingerprint, w *watch, suspect *record) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r.runDone = nil
-	close(runDone)
+	w.holders--
+	if w.holders == 0 {
+		w.cancel()
+		if l.watches[key] == w {
+			delete(l.watches, key)
+		}
+	}
+	if suspect != nil {
+		close(suspect.runDone)
+		suspect.runDone = nil
+	}
 }
 
 // Quarantined reports whether a request is in quarantine.
@@ -163,10 +209,11 @@
 	return r != nil && r.quarantined()
 }
 
-// Add records a crash. A second report of a crash that is already in the record has
-// no effect. Crashes beyond crashesToQuarantine are not kept, and each report of one
-// renews the time of the last crash.
-func (l *List) Add(c Crash) {
+// Add records a crash and returns the number of crashes of the request that are
+// recorded. It returns zero if the crash is in the record already: such a report has no
+// effect. Crashes beyond maxCrashes are not kept, and each report of one renews the time
+// of the last crash.
+func (l *List) Add(c Crash) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.record(c.Fingerprint)
@@ -176,25 +223,60 @@
 		l.records[c.Fingerprint] = r
 	}
 	if slices.ContainsFunc(r.crashes, func(known Crash) bool { return known.ID == c.ID }) {
-		return
+		return 0
 	}
 	r.lastCrash = time.Now()
-	if len(r.crashes) < crashesToQuarantine {
+	if len(r.crashes) < maxCrashes {
 		r.crashes = append(r.crashes, c)
 	}
+	w, ok := l.watches[c.Fingerprint]
+	if ok {
+		w.cancel()
+		delete(l.watches, c.Fingerprint)
+	}
+	return len(r.crashes)
+}
+
+// Clear removes the record of a suspect that has run without a crash, and returns its
+// crashes. A request in quarantine stays there.
+func (l *List) Clear(key Fingerprint) []Crash {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.record(key)
+	if r == nil || r.quarantined() {
+		return nil
+	}
+	delete(l.records, key)
+	return r.crashes
 }
 
-// Clear removes the record of a suspect that has run without a crash. A request in
-// quarantine stays there.
-func (l *List) Clear(key Fingerprint) {
+// Remove removes one crash from the record of a request, if it is there.
+func (l *List) Remove(key Fingerprint, id CrashID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.record(key)
-	if r != nil && !r.quarantined() {
+	if r == nil {
+		return
+	}
+	r.crashes = slices.DeleteFunc(r.crashes, func(c Crash) bool { return c.ID == id })
+	if len(r.crashes) == 0 {
 		delete(l.records, key)
 	}
 }
 
+// All returns the crashes of all records that have not expired, in no particular order.
+func (l *List) All() []Crash {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []Crash
+	for key, r := range l.records {
+		if l.record(key) != nil {
+			all = append(all, r.crashes...)
+		}
+	}
+	return all
+}
+
 // record returns the record of a request, or nil if there is none or it has expired.
 // The caller holds mu.
 func (l *List) record(key Fingerprint) *record {
--- /dev/null
+++ b/quarantine/table.go
@@ -0,0 +1,307 @@
+package quarantine
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/internal/clock"
+	"go.uber.org/zap"
+)
+
+const (
+	// minBackoff and maxBackoff bound the backoff after a failed write.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = time.Second
+	// clearDelay is how long the removal of the rows of cleared suspects may wait for
+	// others, so that one write serves many. A crash is written at once.
+	clearDelay = 500 * time.Millisecond
+	// sweepInterval is the mean time between two removals of expired rows. Each entry
+	// draws its own times, so that one of them mostly removes the rows for all.
+	sweepInterval = time.Minute
+	// maxPending is the number of rows that wait to be written or removed. Further ones
+	// are not shared.
+	maxPending = 1 << 12
+)
+
+// Table shares the crashes that a List records with other entries, as rows of a table
+// of the platform's store, one for each crash under a request. It implements the
+// callbacks of a watch.Follower of that table. List and Log must be set before use, the
+// other fields before Run is called.
+type Table struct {
+	List *List
+	// Writer and Name are the store and the table.
+	Writer foxtailstack.RecordWriter
+	Name   string
+	// MaxWrites is the number of rows that Writer takes in one call.
+	MaxWrites int
+	// Instance is the name of this entry. It stands in the rows for diagnosis.
+	Instance foxtailstack.InstanceName
+	Log      *zap.Logger
+
+	mu sync.Mutex
+	// rows holds the names of the rows that the store is known to have.
+	rows map[string]struct{}
+	// pending holds the rows to write, with true, and to remove, with false.
+	pending map[string]bool
+	// wake gets a value when rows become pending. It is nil before Run is called.
+	wake chan struct{}
+}
+
+// Report records a crash and shares it.
+func (t *Table) Report(c Crash) {
+	n := t.List.Add(c)
+	if n == 0 {
+		return
+	}
+	t.logCrash("crash recorded", c, n, t.Instance)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.setPending(rowName(c), true)
+}
+
+// Clear removes the record of a suspect that has run without a crash, here and at the
+// other entries.
+func (t *Table) Clear(key Fingerprint) {
+	cleared := t.List.Clear(key)
+	if len(cleared) == 0 {
+		return
+	}
+	t.Log.Info("suspect cleared", zap.Stringer("fingerprint", key))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range cleared {
+		t.setPending(rowName(c), false)
+	}
+}
+
+// setPending lets Run write or remove a row. The caller holds mu.
+func (t *Table) setPending(row string, write bool) {
+	if t.Writer == nil || len(t.pending) >= maxPending {
+		return
+	}
+	if t.pending == nil {
+		t.pending = make(map[string]bool)
+	}
+	t.pending[row] = write
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Replace receives all rows of the table. Crashes whose rows are gone are removed from
+// the List.
+func (t *Table) Replace(records []foxtailstack.Record, version foxtailstack.StoreVersion) {
+	t.mu.Lock()
+	gone := t.rows
+	t.rows = nil
+	t.mu.Unlock()
+	t.Update(records, version)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for row := range gone {
+		_, kept := t.rows[row]
+		if !kept && !t.pending[row] {
+			t.forget(row)
+		}
+	}
+}
+
+// Update receives the rows of the table that changed.
+func (t *Table) Update(records []foxtailstack.Record, _ foxtailstack.StoreVersion) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.rows == nil {
+		t.rows = make(map[string]struct{})
+	}
+	for _, record := range records {
+		if record.Deleted {
+			delete(t.rows, record.Name)
+			t.forget(record.Name)
+			continue
+		}
+		c, err := parseRowName(record.Name)
+		if err != nil {
+			t.Log.Warn("row skipped", zap.String("kind", "crash"), zap.String("row", record.Name), zap.Error(err))
+			continue
+		}
+		t.rows[record.Name] = struct{}{}
+		n := t.List.Add(c)
+		if n > 0 {
+			t.logCrash("crash learnt", c, n, foxtailstack.InstanceName(record.Value))
+		}
+	}
+}
+
+// forget removes the crash of a row from the List. The caller holds mu.
+func (t *Table) forget(row string) {
+	c, err := parseRowName(row)
+	if err == nil {
+		t.List.Remove(c.Fingerprint, c.ID)
+	}
+}
+
+// Run writes pending rows until ctx is done. After a failure it repeats the write with
+// backoff. It also removes the rows of records that have expired.
+func (t *Table) Run(ctx context.Context) {
+	wake := make(chan struct{}, 1)
+	t.mu.Lock()
+	t.wake = wake
+	t.mu.Unlock()
+	sweep := time.NewTimer(sweepInterval/2 + rand.N(sweepInterval))
+	defer sweep.Stop()
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		if !t.hasPending() {
+			select {
+			case <-ctx.Done():
+			case <-wake:
+			case <-sweep.C:
+				t.sweep()
+				sweep.Reset(sweepInterval/2 + rand.N(sweepInterval))
+			}
+			continue
+		}
+		t.awaitCrash(ctx, wake)
+		err := t.writePending(ctx)
+		if err == nil {
+			backoff = minBackoff
+			continue
+		}
+		_ = clock.Sleep(ctx, backoff/2+rand.N(backoff)) // ctx is checked next
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// hasPending reports whether rows are pending.
+func (t *Table) hasPending() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.pending) > 0
+}
+
+// awaitCrash waits until a crash is to be written, or for clearDelay.
+func (t *Table) awaitCrash(ctx context.Context, wake <-chan struct{}) {
+	timer := time.NewTimer(clearDelay)
+	defer timer.Stop()
+	for !t.crashPending() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-wake:
+		}
+	}
+}
+
+// crashPending reports whether a crash is to be written.
+func (t *Table) crashPending() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, write := range t.pending {
+		if write {
+			return true
+		}
+	}
+	return false
+}
+
+// writePending writes and removes up to MaxWrites pending rows. Rows stay pending if the
+// store did not take them, unless it refuses such a write.
+func (t *Table) writePending(ctx context.Context) error {
+	batch := make(map[string]bool)
+	var records []foxtailstack.Record
+	var remove []string
+	t.mu.Lock()
+	for row, write := range t.pending {
+		if len(batch) >= t.MaxWrites {
+			break
+		}
+		batch[row] = write
+		if !write {
+			remove = append(remove, row)
+			continue
+		}
+		records = append(records, foxtailstack.Record{
+			Name:  row,
+			Value: []byte(t.Instance),
+		})
+	}
+	t.mu.Unlock()
+	err := t.Writer.Write(ctx, t.Name, records, remove)
+	if errors.Is(err, foxtailstack.ErrUnavailable) || errors.Is(err, foxtailstack.ErrUncertain) {
+		t.Log.Debug("crashes not written yet", zap.Int("rows", len(batch)), zap.Error(err))
+		return err
+	}
+	if err != nil {
+		t.Log.Warn("crashes not written", zap.Int("rows", len(batch)), zap.Error(err))
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for row, write := range batch {
+		if t.pending[row] == write {
+			delete(t.pending, row)
+		}
+	}
+	return nil
+}
+
+// sweep lets Run remove the rows of crashes that the List no longer holds.
+func (t *Table) sweep() {
+	held := make(map[string]struct{})
+	for _, c := range t.List.All() {
+		held[rowName(c)] = struct{}{}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for row := range t.rows {
+		_, ok := held[row]
+		if !ok {
+			t.setPending(row, false)
+		}
+	}
+}
+
+// logCrash logs a crash. n is the number of crashes of the request that are recorded, by
+// the entry that found it.
+func (t *Table) logCrash(message string, c Crash, n int, by foxtailstack.InstanceName) {
+	t.Log.Info(message,
+		zap.Stringer("fingerprint", c.Fingerprint),
+		zap.String("crash", string(c.ID)),
+		zap.Int("crashes", n),
+		zap.Bool("quarantined", n >= crashesToQuarantine),
+		zap.String("by", string(by)))
+}
+
+// rowSeparator stands between the fingerprint and the CrashID in the name of a row.
+const rowSeparator = "/"
+
+// rowName returns the name of the row of a crash.
+func rowName(c Crash) string {
+	return c.Fingerprint.String() + rowSeparator + string(c.ID)
+}
+
+// errRowName is returned for the name of a row that does not name a crash.
+var errRowName = errors.New("name does not consist of a fingerprint and a crash")
+
+// parseRowName returns the crash that a row stands for.
+func parseRowName(name string) (Crash, error) {
+	digits, id, ok := strings.Cut(name, rowSeparator)
+	data, err := hex.DecodeString(digits)
+	if !ok || id == "" || err != nil || len(data) != len(Fingerprint{}) {
+		return Crash{}, fmt.Errorf("%w: %q", errRowName, name)
+	}
+	return Crash{
+		Fingerprint: Fingerprint(data),
+		ID:          CrashID(id),
+		Upstream:    CrashID(id).upstream(),
+	}, nil
+}
--- /dev/null
+++ b/quarantine/table_test.go
@@ -0,0 +1,233 @@
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+)
+
+// testStore passes the rows that one Table writes to others, as the feed of the store
+// does.
+type testStore struct {
+	mu sync.Mutex
+	// fails is the number of calls that fail next.
+	fails  int
+	calls  int
+	rows   map[string][]byte
+	tables []*Table
+}
+
+func (s *testStore) Write(_ context.Context, _ string, records []foxtailstack.Record, remove []string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.fails > 0 {
+		s.fails--
+		return foxtailstack.ErrUnavailable
+	}
+	changes := slices.Clone(records)
+	for _, record := range records {
+		s.rows[record.Name] = record.Value
+	}
+	for _, name := range remove {
+		delete(s.rows, name)
+		changes = append(changes, foxtailstack.Record{
+			Name:    name,
+			Deleted: true,
+		})
+	}
+	for _, table := range s.tables {
+		go table.Update(changes, 0)
+	}
+	return nil
+}
+
+// fail lets the next calls fail.
+func (s *testStore) fail(calls int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fails = calls
+}
+
+// callCount returns the number of calls so far.
+func (s *testStore) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// all returns all rows.
+func (s *testStore) all() []foxtailstack.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var records []foxtailstack.Record
+	for name, value := range s.rows {
+		records = append(records, foxtailstack.Record{
+			Name:  name,
+			Value: value,
+		})
+	}
+	return records
+}
+
+// start runs a new table on the store until the test ends.
+func (s *testStore) start(ctx context.Context) *Table {
+	table := &Table{
+		List:      &List{},
+		Writer:    s,
+		Name:      "crashes",
+		MaxWrites: 3,
+		Log:       zap.NewNop(),
+	}
+	table.Replace(s.all(), 0)
+	s.mu.Lock()
+	s.tables = append(s.tables, table)
+	s.mu.Unlock()
+	go table.Run(ctx)
+	return table
+}
+
+// runTables runs a test with a store and two tables on it.
+func runTables(t *testing.T, test func(t *testing.T, s *testStore, a, b *Table)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &testStore{rows: make(map[string][]byte)}
+		test(t, s, s.start(ctx), s.start(ctx))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// crashOf returns a crash under the request with number n.
+func crashOf(n byte, id CrashID) Crash {
+	return Crash{
+		Fingerprint: Fingerprint{n},
+		ID:          id,
+		Upstream:    id.upstream(),
+	}
+}
+
+// Guards against a request that crashes one upstream by each entry: what entries find
+// counts together, also at those that start later or after the store was away, and the
+// same crash found by two entries counts once.
+func TestTableSharesCrashes(t *testing.T) {
+	runTables(t, func(t *testing.T, s *testStore, a, b *Table) {
+		s.fail(3)
+		a.Report(crashOf(1, "v@1"))
+		b.Report(crashOf(1, "v@1"))
+		a.Report(crashOf(2, "v@1"))
+		b.Report(crashOf(2, "w@1"))
+		time.Sleep(5 * time.Second)
+		for name, table := range map[string]*Table{
+			"a":     a,
+			"b":     b,
+			"later": s.start(t.Context()),
+		} {
+			if table.List.Quarantined(Fingerprint{1}) {
+				t.Errorf("%s: one crash found by two entries counts twice", name)
+			}
+			if !table.List.Quarantined(Fingerprint{2}) {
+				t.Errorf("%s: two crashes found by two entries do not count together", name)
+			}
+		}
+	})
+}
+
+// Guards against suspects that stay suspects elsewhere after they have run, and against a
+// request in quarantine that leaves it.
+func TestTableClearsSuspects(t *testing.T) {
+	runTables(t, func(t *testing.T, s *testStore, a, b *Table) {
+		for n := range byte(7) {
+			a.Report(crashOf(n, "v@1"))
+		}
+		a.Report(crashOf(0, "w@1"))
+		time.Sleep(time.Second)
+		before := s.callCount()
+		for n := range byte(7) {
+			b.Clear(Fingerprint{n})
+		}
+		time.Sleep(3 * clearDelay)
+		var want []string
+		for _, id := range []CrashID{"v@1", "w@1"} {
+			want = append(want, rowName(crashOf(0, id)))
+		}
+		var got []string
+		for _, c := range a.List.All() {
+			got = append(got, rowName(c))
+		}
+		slices.Sort(got)
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("crashes left (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff(2, s.callCount()-before); diff != "" {
+			t.Errorf("calls for 6 rows, 3 at a time (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// Guards against rows that stay in the store for ever.
+func TestTableRemovesExpiredRows(t *testing.T) {
+	runTables(t, func(t *testing.T, s *testStore, a, b *Table) {
+		a.Report(crashOf(1, "v@1"))
+		b.Report(crashOf(1, "w@1"))
+		time.Sleep(crashTTL - time.Second)
+		if diff := cmp.Diff(2, len(s.all())); diff != "" {
+			t.Errorf("rows before the end of their time (-want +got):\n%s", diff)
+		}
+		time.Sleep(2*sweepInterval + time.Second)
+		if diff := cmp.Diff(0, len(s.all())); diff != "" {
+			t.Errorf("rows after the end of their time (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// Guards against suspects that were cleared elsewhere while the history of the store was
+// lost, and against crashes that are forgotten before they could be written.
+func TestTableReplace(t *testing.T) {
+	runTables(t, func(t *testing.T, s *testStore, a, b *Table) {
+		b.Report(crashOf(1, "v@1"))
+		time.Sleep(time.Second)
+		s.fail(1000)
+		a.Report(crashOf(2, "v@1"))
+		a.Replace([]foxtailstack.Record{{Name: "strange"}, {Name: strings.Repeat("0", 32) + rowSeparator}}, 0)
+		if diff := cmp.Diff([]Crash{crashOf(2, "v@1")}, a.List.All()); diff != "" {
+			t.Errorf("crashes (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// Guards against a request that waits for an upstream while others like it crash theirs,
+// and is sent on the admission from before.
+func TestAdmissionOutdated(t *testing.T) {
+	var l List
+	first, err := l.Admit(t.Context(), Fingerprint{})
+	if err != nil {
+		t.Fatal("admit:", err)
+	}
+	l.Add(crashOf(1, "v@1"))
+	if first.Outdated.Err() != nil {
+		t.Error("a crash under another request made the admission outdated")
+	}
+	l.Add(crashOf(0, "v@1"))
+	if first.Outdated.Err() == nil {
+		t.Error("a crash under an equal request left the admission valid")
+	}
+	first.Release()
+	second, err := l.Admit(t.Context(), Fingerprint{})
+	if err != nil || !second.Suspect || second.Outdated.Err() != nil {
+		t.Errorf("got error %v, suspect %t, outdated %v, want a valid admission of a suspect", err, second.Suspect, second.Outdated)
+	}
+	second.Release()
+	if diff := cmp.Diff(0, len(l.watches)); diff != "" {
+		t.Errorf("watches left (-want +got):\n%s", diff)
+	}
+}
--- a/route/fleet.go
+++ b/route/fleet.go
@@ -29,6 +29,8 @@
 	StoreVersion   uint64
 	upstreams      map[foxtailstack.UpstreamName]Upstream
 	readyByService map[foxtailstack.ServiceName][]Upstream // ready ones only
+	// latestStart is the latest StartUnixMilli of the upstreams at an address.
+	latestStart map[foxtailstack.Address]int64
 }
 
 // NewFleet returns the fleet of the given upstreams. Of several with the same
@@ -41,14 +43,14 @@
 		StoreVersion:   storeVersion,
 		upstreams:      make(map[foxtailstack.UpstreamName]Upstream, len(upstreams)),
 		readyByService: make(map[foxtailstack.ServiceName][]Upstream),
+		latestStart:    make(map[foxtailstack.Address]int64, len(upstreams)),
 	}
-	latestStart := make(map[foxtailstack.Address]int64, len(upstreams))
 	for _, u := range upstreams {
-		latestStart[u.Address] = max(latestStart[u.Address], u.StartUnixMilli)
+		f.latestStart[u.Address] = max(f.latestStart[u.Address], u.StartUnixMilli)
 	}
 	for _, u := range upstreams {
 		f.upstreams[u.Name] = u
-		if !u.Draining && u.StartUnixMilli == latestStart[u.Address] {
+		if !u.Draining && u.StartUnixMilli == f.latestStart[u.Address] {
 			f.readyByService[u.Service] = append(f.readyByService[u.Service], u)
 		}
 	}
@@ -91,6 +93,12 @@
 	return u, ok
 }
 
+// StartedAfter reports whether an upstream announces a later start than u did, at the
+// address of u: the process of u has ended. It returns false if u announced no start.
+func (f *Fleet) StartedAfter(u Upstream) bool {
+	return f != nil && u.StartUnixMilli > 0 && f.latestStart[u.Address] > u.StartUnixMilli
+}
+
 // Len returns the number of upstreams.
 func (f *Fleet) Len() int {
 	if f == nil {
