Let the retries of all entries together stay within the budget

A service may get more repeats than its budget when it fails and there are many entries, or when entries start anew.

Cause: each entry took an eighth of the slack, however many there were, and a process that started anew took it again at once.

Why this works: an entry takes the fraction of the slack that it has of the requests at its groups, which the planner's statuses show and which adds up to one, and none in the first window after its start. With five entries that is a fifth in place of an eighth. TestBudget now says that its budget is one of five entries; its bounds are the same.

--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -14,9 +14,6 @@
 	// slides, and other entries count on their own, so that the sum over all could
 	// otherwise exceed the budget in some window.
 	budgetMargin = 0.85
-	// assumedEntries is the number of entries that the slack is divided among. An
-	// entry does not know how many there are, so the number is a high one.
-	assumedEntries = 8
 )
 
 // RetryBudget limits the retries of each service in a sliding window. It must not be
@@ -31,6 +28,12 @@
 	// Slack is the number of retries in a window that all entries together may
 	// make in addition.
 	Slack int
+	// LoadShare returns the fraction of the requests of all entries that this one gets,
+	// and so the fraction of Slack that it may use. If it is nil there are no others.
+	LoadShare func() float64
+	// Started is the time at which the process started. In the first Window after it
+	// no Slack is used: the process that ran here before may have used it.
+	Started time.Time
 
 	mu       sync.Mutex
 	counters map[foxtailstack.ServiceName]*windowCounter
@@ -59,7 +62,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	counter, bucket := b.currentBucket(service)
-	permitted := b.Ratio*float64(sum(counter.requests)) + float64(b.Slack)/assumedEntries
+	permitted := b.Ratio*float64(sum(counter.requests)) + b.ownSlack()
 	if float64(sum(counter.retries)+1) > budgetMargin*permitted {
 		return false
 	}
@@ -67,6 +70,22 @@
 	return true
 }
 
+// ownSlack returns the part of Slack that this process may use.
+func (b *RetryBudget) ownSlack() float64 {
+	switch {
+	case time.Since(b.Started) < b.window():
+		return 0
+	case b.LoadShare == nil:
+		return float64(b.Slack)
+	}
+	return float64(b.Slack) * b.LoadShare()
+}
+
+// window returns the length of the window.
+func (b *RetryBudget) window() time.Duration {
+	return max(b.Window, time.Second)
+}
+
 // currentBucket returns the counter of a service and the index of its present bucket.
 // It clears the buckets that have left the window. The caller holds mu.
 func (b *RetryBudget) currentBucket(service foxtailstack.ServiceName) (*windowCounter, int) {
@@ -78,7 +97,7 @@
 		counter = &windowCounter{}
 		b.counters[service] = counter
 	}
-	length := max(b.Window, time.Second) / windowBuckets
+	length := b.window() / windowBuckets
 	now := time.Now().UnixNano() / int64(length)
 	if now-counter.newest >= windowBuckets {
 		*counter = windowCounter{newest: now}
--- a/dispatch/budget_test.go
+++ b/dispatch/budget_test.go
@@ -17,6 +17,9 @@
 			Ratio:  0.2,
 			Window: 10 * time.Second,
 			Slack:  94,
+			LoadShare: func() float64 {
+				return 1.0 / 5
+			},
 		}
 		retries := 0
 		for range 1000 { // 100 a second
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -124,6 +124,26 @@
 	return silent
 }
 
+// LoadShare returns the fraction of the requests of all entries that this process gets,
+// as the statuses of groups show it. It is initialLoadShare if there was none.
+func (s *Scheduler) LoadShare() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum, known := 0.0, 0
+	for _, q := range s.queues {
+		for _, share := range q.loadShares {
+			if share.known {
+				sum += share.fraction
+				known++
+			}
+		}
+	}
+	if known == 0 {
+		return initialLoadShare
+	}
+	return sum / float64(known)
+}
+
 // Silent reports whether a rank gets no requests because, within the last silentTime,
 // a status of its group did not list it or a request at it stalled. A later status
 // that lists the rank ends that.
