Do not count crashes under requests that are served all the time

What callers would see: two upstreams crash at once for a reason of their own (a rack, a data centre) while both run equal requests of a team, say lookups of a popular thing: two crashes are recorded under that fingerprint and it is refused everywhere for ten minutes.

Why this works: a request that crashes each upstream that begins to run it never runs to its end. An entry remembers for 30 s which requests did, records no crash under them and removes the rows that others wrote. Suspects that run to their end were cleared before, but not if the second crash came first.

Evidence: TestTableKeepsServedRequests fails without the memory.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -158,7 +158,7 @@
 	switch {
 	case err == nil:
 		s.retryBudgets.countSuccess(r.budgetKey())
-		s.quarantine.Clear(r.fingerprint)
+		s.quarantine.Served(r.fingerprint)
 	case errors.As(err, &attemptErr) && attemptErr.mayHaveCrashed():
 		s.recordCrash(ctx, Crash{
 			Fingerprint:    r.fingerprint,
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -88,7 +88,7 @@
 		conn.Close()
 		return c.failed(ctx, reservation, errTooLong)
 	}
-	c.gateway.Quarantine.Clear(c.fingerprint)
+	c.gateway.Quarantine.Served(c.fingerprint)
 	in.Finish(c.gateway.Pool, reservation.Upstream.Name, conn)
 	response := &bufferedResponse{
 		status: in.Status,
@@ -141,7 +141,7 @@
 		}
 	}
 	in.Finish(c.gateway.Pool, reservation.Upstream.Name, conn)
-	c.gateway.Quarantine.Clear(c.fingerprint)
+	c.gateway.Quarantine.Served(c.fingerprint)
 	reservation.Release(dispatch.Report{Outcome: dispatch.Answered})
 	if !c.stream.headerSent {
 		c.startStream(in.Header)
--- a/machine/crash_test.go
+++ b/machine/crash_test.go
@@ -33,8 +33,12 @@
 	crashWorkers = 4
 	// crashInterval is the time between two requests that crash their upstream.
 	crashInterval = 40 * time.Millisecond
+	// otherInterval is the time between two other requests.
+	otherInterval = 2 * time.Millisecond
 	// crashDowntime is how long a worker is down after a crash.
 	crashDowntime = 400 * time.Millisecond
+	// crashWork is how long a worker takes for another request.
+	crashWork = 20 * time.Millisecond
 	// observeTime is how long a test goes on once retries are limited.
 	observeTime = time.Second
 	// servedBesideCrashes is the fraction of other requests that must be served.
@@ -74,6 +78,7 @@
 			Service:  "drafts",
 			Mode:     mode,
 			Downtime: crashDowntime,
+			Work:     crashWork,
 			Store:    &s.store.Rows,
 			Log:      s.log,
 		}
@@ -235,7 +240,8 @@
 }
 
 // Guards against requests that are refused because they ran beside one that crashed
-// their upstream.
+// their upstreams. They are all equal, as those of a team for a popular thing are, so that
+// each upstream runs one when it crashes.
 func TestOthersAreServedBesideCrashes(t *testing.T) {
 	t.Parallel()
 	s := newCrashSystem(t, standin.CrashMode{})
@@ -244,11 +250,13 @@
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		for n := 0; ctx.Err() == nil; n++ {
-			if s.send(n%len(s.entries), fmt.Sprintf("other-%d", n), "/lookup/y", "question") == http.StatusOK {
-				served.Add(1)
-			}
-			sent.Add(1)
-			time.Sleep(5 * time.Millisecond)
+			wg.Go(func() {
+				if s.send(n%len(s.entries), fmt.Sprintf("other-%d", n), "/lookup/y", "question") == http.StatusOK {
+					served.Add(1)
+				}
+				sent.Add(1)
+			})
+			time.Sleep(otherInterval)
 		}
 	})
 	s.sendCrashes("/lookup/x")
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -26,6 +26,12 @@
 	// maxCrashes that of the crashes of one request.
 	maxRecords = 1 << 12
 	maxCrashes = 1 << 4
+	// servedTTL is the time after a request has run to its end in which crashes under
+	// equal requests do not count. Requests that are sent so often run on every
+	// upstream that crashes for another reason.
+	servedTTL = 30 * time.Second
+	// maxServed is the number of requests that are known to have run to their end.
+	maxServed = 1 << 10
 	// maxTurnWait is the maximum time that a suspect waits for an equal request
 	// to finish.
 	maxTurnWait = 2 * time.Second
@@ -97,6 +103,7 @@
 	records map[Fingerprint]*record
 	// watches holds the watches of the admissions that have not been released.
 	watches map[Fingerprint]*watch
+	served  servedLog
 }
 
 // Admission is the permission to make one attempt. The holder calls Release when the
@@ -210,12 +217,15 @@
 }
 
 // Add records a crash and returns the number of crashes of the request that are
-// recorded. It returns zero if the crash is in the record already: such a report has no
-// effect. Crashes beyond maxCrashes are not kept, and each report of one renews the time
+// recorded. It returns zero if the report has no effect: the crash is in the record
+// already, or an equal request has run to its end within servedTTL. Crashes beyond maxCrashes are not kept, and each report of one renews the time
 // of the last crash.
 func (l *List) Add(c Crash) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.served.has(c.Fingerprint) {
+		return 0
+	}
 	r := l.record(c.Fingerprint)
 	if r == nil {
 		l.makeRoom()
@@ -237,11 +247,12 @@
 	return len(r.crashes)
 }
 
-// Clear removes the record of a suspect that has run without a crash, and returns its
-// crashes. A request in quarantine stays there.
-func (l *List) Clear(key Fingerprint) []Crash {
+// Served records that a request has run to its end. It removes the record of a suspect
+// and returns its crashes. A request in quarantine stays there.
+func (l *List) Served(key Fingerprint) []Crash {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.served.add(key)
 	r := l.record(key)
 	if r == nil || r.quarantined() {
 		return nil
@@ -250,6 +261,13 @@
 	return r.crashes
 }
 
+// ServedRecently reports whether a request has run to its end within servedTTL.
+func (l *List) ServedRecently(key Fingerprint) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.served.has(key)
+}
+
 // Remove removes one crash from the record of a request, if it is there.
 func (l *List) Remove(key Fingerprint, id CrashID) {
 	l.mu.Lock()
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -93,7 +93,7 @@
 					l.Add(c)
 				}
 				if test.clear {
-					l.Clear(Fingerprint{})
+					l.Served(Fingerprint{})
 				}
 				time.Sleep(test.wait)
 				p, err := l.Admit(t.Context(), Fingerprint{})
--- /dev/null
+++ b/quarantine/served.go
@@ -0,0 +1,39 @@
+package quarantine
+
+import "time"
+
+// servedLog holds when requests ran to their end, for the last maxServed of them. The
+// zero value is empty.
+type servedLog struct {
+	at map[Fingerprint]time.Time
+	// ring holds the fingerprints in the order in which they were added, next the place
+	// of the next one.
+	ring []Fingerprint
+	next int
+}
+
+// add records that a request ran to its end now. If the log is full, it forgets the
+// request that was added first.
+func (s *servedLog) add(key Fingerprint) {
+	if s.at == nil {
+		s.at = make(map[Fingerprint]time.Time)
+	}
+	_, known := s.at[key]
+	s.at[key] = time.Now()
+	if known {
+		return
+	}
+	if len(s.ring) < maxServed {
+		s.ring = append(s.ring, key)
+		return
+	}
+	delete(s.at, s.ring[s.next])
+	s.ring[s.next] = key
+	s.next = (s.next + 1) % maxServed
+}
+
+// has reports whether a request ran to its end within servedTTL.
+func (s *servedLog) has(key Fingerprint) bool {
+	at, ok := s.at[key]
+	return ok && time.Since(at) < servedTTL
+}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -66,10 +66,10 @@
 	t.setPending(rowName(c), true)
 }
 
-// Clear removes the record of a suspect that has run without a crash, here and at the
-// other entries.
-func (t *Table) Clear(key Fingerprint) {
-	cleared := t.List.Clear(key)
+// Served records that a request has run to its end. If it was a suspect, that is over
+// here and at the other entries.
+func (t *Table) Served(key Fingerprint) {
+	cleared := t.List.Served(key)
 	if len(cleared) == 0 {
 		return
 	}
@@ -114,7 +114,8 @@
 	}
 }
 
-// Update receives the rows of the table that changed.
+// Update receives the rows of the table that changed. It removes those of requests that
+// have run to their end here recently.
 func (t *Table) Update(records []foxtailstack.Record, _ foxtailstack.StoreVersion) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -133,6 +134,10 @@
 			continue
 		}
 		t.rows[record.Name] = struct{}{}
+		if t.List.ServedRecently(c.Fingerprint) {
+			t.setPending(record.Name, false)
+			continue
+		}
 		n := t.List.Add(c)
 		if n > 0 {
 			t.logCrash("crash learnt", c, n, foxtailstack.InstanceName(record.Value))
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -153,7 +153,7 @@
 		time.Sleep(time.Second)
 		before := s.callCount()
 		for n := range byte(7) {
-			b.Clear(Fingerprint{n})
+			b.Served(Fingerprint{n})
 		}
 		time.Sleep(3 * clearDelay)
 		var want []string
@@ -174,6 +174,33 @@
 	})
 }
 
+// Guards against a request that many callers send being refused everywhere, because it
+// ran on two upstreams that crashed at once for another reason.
+func TestTableKeepsServedRequests(t *testing.T) {
+	runTables(t, func(t *testing.T, s *testStore, a, b *Table) {
+		a.Served(Fingerprint{1})
+		time.Sleep(servedTTL / 2)
+		b.Report(crashOf(1, "v@1"))
+		b.Report(crashOf(1, "w@1"))
+		time.Sleep(2 * clearDelay)
+		for name, table := range map[string]*Table{
+			"a": a,
+			"b": b,
+		} {
+			if table.List.Quarantined(Fingerprint{1}) {
+				t.Errorf("%s: a request that was served %s before is in quarantine", name, servedTTL/2)
+			}
+		}
+		time.Sleep(servedTTL)
+		b.Report(crashOf(1, "v@2"))
+		b.Report(crashOf(1, "w@2"))
+		time.Sleep(2 * clearDelay)
+		if !a.List.Quarantined(Fingerprint{1}) {
+			t.Errorf("a request that was last served longer than %s before is not in quarantine", servedTTL)
+		}
+	})
+}
+
 // Guards against rows that stay in the store for ever.
 func TestTableRemovesExpiredRows(t *testing.T) {
 	runTables(t, func(t *testing.T, s *testStore, a, b *Table) {
