Let requests crash upstreams in the soak

After each trouble one such request now comes at all entries every 50 ms; plain upstreams crash under it, are back after 0.3 s under another name, and after 3 s in which all entries can know at most three more may reach them.

--- a/soak/doc.go
+++ b/soak/doc.go
@@ -25,5 +25,7 @@
 //   - A key that was taken away stops within its time, in trouble as well.
 //   - No pass of the group begins with two maps.
 //   - A planned stop in calm cuts no request.
+//   - A request that crashes the upstreams that run it is not sent on once three have
+//     crashed, after a time in which all entries can know.
 //   - In calm, nearly all is served.
 package soak
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -75,7 +75,7 @@
 	wg.Go(func() { c.run(ctx) })
 	for round := range rounds {
 		s.trouble(rng, c, round)
-		s.calm(rng, c)
+		s.calm(rng, c, round)
 	}
 	cancel()
 	wg.Wait()
@@ -209,12 +209,17 @@
 	way.set(pass)
 }
 
+// presentKey returns the key that callers use now.
+func (c *callers) presentKey() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.key
+}
+
 // changeKey takes the present key away and gives out another.
 func (c *callers) changeKey(round int) {
 	key := fmt.Sprintf("key-%d", round+2)
-	c.mu.Lock()
-	old := c.key
-	c.mu.Unlock()
+	old := c.presentKey()
 	c.system.putConfig(2*round+2, old, key)
 	time.Sleep(1200 * time.Millisecond) // callers change over while both hold
 	c.mu.Lock()
@@ -227,8 +232,19 @@
 	c.mu.Unlock()
 }
 
-// calm checks that nearly all is served, and that a planned stop cuts nothing.
-func (s *system) calm(rng *rand.Rand, c *callers) {
+// calm checks that nearly all is served, that a planned stop cuts nothing, and that a
+// request that crashes upstreams is not sent on.
+func (s *system) calm(rng *rand.Rand, c *callers, round int) {
+	troubleEnded := time.Now()
+	ctx, cancel := context.WithCancel(s.t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { s.sendCrashes(ctx, fmt.Sprintf("/lookup/crash-%d", round), c.presentKey()) })
+	defer func() {
+		cancel()
+		wg.Wait()
+		checkCrashes(s.t, s.crashes, troubleEnded)
+		s.crashes.Reset()
+	}()
 	time.Sleep(healTime)
 	began := time.Now()
 	time.Sleep(calmTime)
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -62,9 +62,11 @@
 	group     *standin.Ranks
 	processes []*process
 	// ways are the proxies, by what they are the way to.
-	ways  map[string]*proxy
-	runs  *ledger
-	stops []func()
+	ways map[string]*proxy
+	runs *ledger
+	// crashes records the requests that crash plain upstreams.
+	crashes *standin.CrashLog
+	stops   []func()
 }
 
 // address returns the address of a port on a machine of a kind.
@@ -92,8 +94,9 @@
 			Sets:    standin.ModelSets,
 			Experts: standin.ModelExperts,
 		},
-		ways: make(map[string]*proxy),
-		runs: newLedger(),
+		ways:    make(map[string]*proxy),
+		runs:    newLedger(),
+		crashes: &standin.CrashLog{},
 	}
 	s.base = freePorts(t, seed)
 	served := httptest.NewServer(s.store.Handler())
@@ -106,7 +109,7 @@
 		s.upstream(rankMachine, i, "models", s.group.Handler(i, s.runs.stream))
 	}
 	for i := range plain {
-		s.upstream(plainMachine, i, "drafts", http.HandlerFunc(s.runs.answer))
+		s.plainUpstream(i)
 	}
 	for i := range *entries {
 		s.process("entry", entryMachine, i, served.Listener.Addr().String())
@@ -142,12 +145,29 @@
 }
 
 // upstream starts an upstream behind a proxy and registers it.
-func (s *system) upstream(kind, i int, service string, handler http.Handler) {
+func (s *system) upstream(kind, i int, service string, handler http.Handler) *httptest.Server {
 	served := httptest.NewServer(handler)
 	s.stops = append(s.stops, served.CloseClientConnections, served.Close)
 	name := fmt.Sprintf("%s-%d", service, i)
 	s.way("upstream "+name, s.address(kind, i, upstreamPort), served.Listener.Addr().String())
-	row := standin.WorkerRow(name, service, s.address(kind, i, upstreamPort))
+	s.register(kind, i, service, name)
+	return served
+}
+
+// plainUpstream starts an upstream that works alone and can crash.
+func (s *system) plainUpstream(i int) {
+	c := &crasher{
+		log:      s.crashes,
+		register: func(name string) { s.register(plainMachine, i, "drafts", name) },
+		name:     fmt.Sprintf("drafts-%d", i),
+		work:     s.runs.answer,
+	}
+	c.served = s.upstream(plainMachine, i, "drafts", c)
+}
+
+// register puts an upstream that starts now into the list.
+func (s *system) register(kind, i int, service, name string) {
+	row := standin.StartedWorkerRow(name, service, s.address(kind, i, upstreamPort), time.Now().UnixMilli())
 	s.store.Rows.Put(standin.Row{
 		Table: "servers",
 		Key:   row.Name,
