--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -217,9 +217,9 @@
 }
 
 // Add records a crash and returns the number of crashes of the request that are
-// recorded. It returns zero if the report has no effect: the crash is in the record
-// already, or an equal request has run to its end within servedTTL. Crashes beyond maxCrashes are not kept, and each report of one renews the time
-// of the last crash.
+// recorded. It returns zero if the crash is not added: it is in the record already, an
+// equal request has run to its end within servedTTL, or there are maxCrashes crashes. In
+// the last case only the time of the last crash is renewed.
 func (l *List) Add(c Crash) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -236,9 +236,10 @@
 		return 0
 	}
 	r.lastCrash = time.Now()
-	if len(r.crashes) < maxCrashes {
-		r.crashes = append(r.crashes, c)
+	if len(r.crashes) >= maxCrashes {
+		return 0
 	}
+	r.crashes = append(r.crashes, c)
 	w, ok := l.watches[c.Fingerprint]
 	if ok {
 		w.cancel()
