Explain requests that were refused after crashes

An operator who is asked why a request was refused gets with explain what happened to equal requests at all entries and which upstreams crashed under them. A stream that is given up because it would not end in time now has the line with the estimates, which only refused requests had: its cause could not be read before.

--- a/explain/outcome.go
+++ b/explain/outcome.go
@@ -18,19 +18,21 @@
 // reasonTexts explains the values of the field reason of a request's last line, except
 // caller-left, which disconnectCause explains.
 var reasonTexts = map[string]string{
-	"served":            "The caller has the whole answer.",
-	"upstream-answered": "The upstream itself answered with a failure; it was passed on unchanged.",
-	"upstreams-refused": "Not run: the upstreams that were asked refused. The caller was told when to come back.",
-	"too-many-waiting":  "Not run: it was not expected to be served in its time. The caller was told when to come back.",
-	"no-upstream":       "Not run: the service had no ready upstream.",
-	"keys-not-current":  "Not run: the store had not been heard for so long that its key might have been taken away.",
-	"no-configuration":  "Not run: the entry had no configuration yet.",
-	"unknown-key":       "Denied: no team has the key in the configuration of that version.",
-	"no-route":          "Denied: the configuration of that version has no route for it.",
-	"body":              "Denied: the body is too long or was cut.",
-	"timeout":           "Its time ended; with sends=0 it did not run, otherwise it may have run.",
-	"upstreams-failed":  "It may have run: an upstream broke off, and it may not be sent again.",
-	"stream-broken":     "The stream broke after its first event and could not go on elsewhere.",
+	"served":             "The caller has the whole answer.",
+	"upstream-answered":  "The upstream itself answered with a failure; it was passed on unchanged.",
+	"upstreams-refused":  "Not run: the upstreams that were asked refused. The caller was told when to come back.",
+	"too-many-waiting":   "Not run: it was not expected to be served in its time. The caller was told when to come back.",
+	"no-upstream":        "Not run: the service had no ready upstream.",
+	"keys-not-current":   "Not run: the store had not been heard for so long that its key might have been taken away.",
+	"no-configuration":   "Not run: the entry had no configuration yet.",
+	"unknown-key":        "Denied: no team has the key in the configuration of that version.",
+	"no-route":           "Denied: the configuration of that version has no route for it.",
+	"body":               "Denied: the body is too long or was cut.",
+	"quarantined":        "Not run: upstreams crashed while they ran equal requests. It is refused until the records of that expire.",
+	"equal-request-runs": "Not run: an upstream crashed while it ran an equal request, so that these run one at a time, and another did not finish in time.",
+	"timeout":            "Its time ended; with sends=0 it did not run, otherwise it may have run.",
+	"upstreams-failed":   "It may have run: an upstream broke off, and it may not be sent again.",
+	"stream-broken":      "The stream broke after its first event and could not go on elsewhere.",
 }
 
 // outcome describes how a request ended. It needs all lines that name the request, in
--- a/explain/report.go
+++ b/explain/report.go
@@ -24,6 +24,10 @@
 	// Recoveries are left out if they came lookback or more before the first line of
 	// the request.
 	StateLines []Line
+	// CrashLines are the lines on crashes of upstreams under equal requests that the entry
+	// of the request wrote until the last line of the request, and the lines on failed
+	// attempts of other equal requests, of all entries.
+	CrashLines []Line
 	// GroupLines are lines of other processes about groups, such as planners and
 	// sidecars, from lookback before the first line of the request to its last one.
 	GroupLines []Line
@@ -60,6 +64,14 @@
 	"switch not done",
 }
 
+// crashMessages are the messages of lines about crashes of upstreams under requests with a
+// fingerprint. Each entry logs all crashes, those that others found included.
+var crashMessages = []string{
+	"crash recorded",
+	"crash learnt",
+	"suspect cleared",
+}
+
 // openSwitchPrefix begins the messages about switches that an earlier planner left
 // open.
 const openSwitchPrefix = "switch left open"
@@ -79,8 +91,9 @@
 	}
 	first, last := report.RequestLines[0], report.RequestLines[len(report.RequestLines)-1]
 	subject := subject{
-		service:   last.Get("service"),
-		upstreams: make(map[string]bool),
+		service:     last.Get("service"),
+		fingerprint: last.Get("fingerprint"),
+		upstreams:   make(map[string]bool),
 	}
 	for _, line := range report.RequestLines {
 		subject.upstreams[line.Get("upstream")] = true
@@ -88,6 +101,10 @@
 	latestByKey := make(map[string]Line)
 	for _, line := range lines {
 		switch {
+		case subject.crashLine(line, id):
+			if line.Message == "attempt failed" || line.Instance == first.Instance && !line.At.After(last.At) {
+				report.CrashLines = append(report.CrashLines, line)
+			}
 		case line.Instance == first.Instance && !line.At.After(last.At):
 			key, ok := subject.stateKey(line)
 			if ok {
@@ -107,14 +124,29 @@
 		}
 	}
 	byTime(report.StateLines)
+	byTime(report.CrashLines)
 	byTime(report.GroupLines)
 	return report
 }
 
-// subject holds the service of a request and the upstreams that it was sent to.
+// subject holds the service and the fingerprint of a request, and the upstreams that it
+// was sent to.
 type subject struct {
-	service   string
-	upstreams map[string]bool
+	service     string
+	fingerprint string
+	upstreams   map[string]bool
+}
+
+// crashLine reports whether a line is about a crash under requests equal to the one with
+// the given id, or about a failed attempt of another of them.
+func (s *subject) crashLine(line Line, id string) bool {
+	if s.fingerprint == "" || line.Get("fingerprint") != s.fingerprint {
+		return false
+	}
+	if line.Message == "attempt failed" {
+		return line.Get("request") != id
+	}
+	return slices.Contains(crashMessages, line.Message)
 }
 
 // stateKey returns the key of the state that a line reports, and whether that state
@@ -172,6 +204,7 @@
 	var b strings.Builder
 	instance := r.RequestLines[0].Instance
 	writeSection(&b, "What "+instance+" believed", r.StateLines, instance)
+	writeSection(&b, "Equal requests (~ placed by clock only)", r.CrashLines, instance)
 	writeSection(&b, "What groups did meanwhile (~ placed by clock only)", r.GroupLines, instance)
 	writeSection(&b, "The request", r.RequestLines, instance)
 	fmt.Fprintf(&b, "\n%s%s\n", r.groupProblems(), outcome(r.RequestLines))
--- a/explain/report_test.go
+++ b/explain/report_test.go
@@ -114,3 +114,39 @@
 		_, _ = explain.Read(strings.NewReader(text))
 	})
 }
+
+// TestReportCrashes checks that the report on a request that was refused after crashes
+// contains the crashes under equal requests and what happened to these, and nothing of
+// other requests or of what the entry learnt later.
+func TestReportCrashes(t *testing.T) {
+	const text = `ts=2026-03-02T13:22:40.000Z level=info msg="attempt failed" instance=e2 request=a upstream=u1 fingerprint=f1 error=broke
+ts=2026-03-02T13:22:40.100Z level=info msg="crash learnt" instance=e1 fingerprint=f1 crash=u1@1 crashes=1 quarantined=false by=e2
+ts=2026-03-02T13:22:40.100Z level=info msg="crash recorded" instance=e2 fingerprint=f1 crash=u1@1 crashes=1 quarantined=false by=e2
+ts=2026-03-02T13:22:41.000Z level=info msg="crash recorded" instance=e1 fingerprint=f1 crash=u2@1 crashes=2 quarantined=true by=e1
+ts=2026-03-02T13:22:41.000Z level=info msg="crash recorded" instance=e1 fingerprint=f2 crash=u2@1 crashes=1 quarantined=false by=e1
+ts=2026-03-02T13:22:41.500Z level=info msg="attempt failed" instance=e1 request=b upstream=u2 fingerprint=f2 error=broke
+ts=2026-03-02T13:22:42.000Z level=info msg=request instance=e1 request=r service=s fingerprint=f1 reason=quarantined
+ts=2026-03-02T13:22:43.000Z level=info msg="crash learnt" instance=e1 fingerprint=f1 crash=u3@1 crashes=3 quarantined=true by=e2
+`
+	lines, err := explain.Read(strings.NewReader(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got strings.Builder
+	err = explain.NewReport("r", lines).Write(&got)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := `Equal requests (~ placed by clock only):
+ ~ 13:22:40.000 e2: attempt failed request=a upstream=u1 fingerprint=f1 error=broke
+   13:22:40.100 e1: crash learnt fingerprint=f1 crash=u1@1 crashes=1 quarantined=false by=e2
+   13:22:41.000 e1: crash recorded fingerprint=f1 crash=u2@1 crashes=2 quarantined=true by=e1
+The request:
+   13:22:42.000 e1: request request=r service=s fingerprint=f1 reason=quarantined
+
+Not run: upstreams crashed while they ran equal requests. It is refused until the records of that expire.
+`
+	if diff := cmp.Diff(want, got.String()); diff != "" {
+		t.Errorf("report differs (-want +got):\n%s", diff)
+	}
+}
--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -17,6 +17,7 @@
 // Otherwise it relays the last error response of an upstream if there is one, or
 // else responds with a status that states whether the request may have run.
 func (c *call) giveUp(ctx context.Context, err error) {
+	c.logOverload(err)
 	var refused *quarantine.RefusedError
 	switch {
 	case c.r.Context().Err() != nil:
@@ -36,7 +37,6 @@
 	case errors.As(err, &refused):
 		c.respondRefused(refused)
 	case errors.Is(err, dispatch.ErrOverloaded):
-		c.logOverload(err)
 		c.respondUnavailable(reasonOverloaded, c.overloadRetryAfter())
 	case errors.Is(err, dispatch.ErrNoUpstream):
 		c.respondUnavailable(reasonNoUpstream, retryAfterOutage)
@@ -66,7 +66,7 @@
 }
 
 // logOverload logs the estimates from which the scheduler concluded that the request
-// cannot be served in time.
+// cannot be served in time, if that is what err says.
 func (c *call) logOverload(err error) {
 	var overload *dispatch.OverloadError
 	if !errors.As(err, &overload) {
--- a/gateway/metrics_test.go
+++ b/gateway/metrics_test.go
@@ -15,6 +15,7 @@
 	reasons := []endReason{
 		reasonServed, reasonNoConfig, reasonNoRoute, reasonUnknownKey, reasonStaleKeys, reasonBody, reasonNoUpstream,
 		reasonOverloaded, reasonNotRun, reasonTimeout, reasonAllFailed, reasonUpstreamFailure, reasonStreamBroken, reasonCallerDisconnected,
+		reasonQuarantined, reasonEqualRuns,
 	}
 	for status := range 1000 {
 		for _, reason := range reasons {
