Read crashes that entries record at one time with one call

Each entry that had requests at a crashed upstream writes their rows, and each write woke the feeds of all entries. A feed of crashes now pauses for 0.2 s after a change: the first one arrives at once, the others together; and it polls for 5 s in place of 2.5 s.

--- a/machine/entry.go
+++ b/machine/entry.go
@@ -36,7 +36,10 @@
 	fleetPollTimeout = 2500 * time.Millisecond
 	// crashPollTimeout is the long-poll timeout for the crashes that entries share. A
 	// connection that silently stopped working shows after it.
-	crashPollTimeout = 2500 * time.Millisecond
+	crashPollTimeout = 5 * time.Second
+	// crashChangePause is the pause after changes to them: all entries that had requests
+	// at an upstream record its crash.
+	crashChangePause = 200 * time.Millisecond
 	// drainDelay is the longest time that an entry still accepts connections after the
 	// request to stop, so that the platform can see that it is not ready and stop sending
 	// callers. The time is half the grace period if that is shorter.
@@ -229,6 +232,7 @@
 		Feed:            store,
 		Table:           platform.TableCrashes,
 		LongPollTimeout: crashPollTimeout,
+		ChangePause:     crashChangePause,
 		Replace:         e.crashes.Replace,
 		Update:          e.crashes.Update,
 		Now:             clock.Boot,
--- a/watch/follower.go
+++ b/watch/follower.go
@@ -26,6 +26,9 @@
 	// LongPollTimeout is how long the store holds a long poll open if there is no
 	// change.
 	LongPollTimeout time.Duration
+	// ChangePause is the time between a response with changes and the next call, so that
+	// one response holds changes that several writers make at nearly the same time.
+	ChangePause time.Duration
 	// Replace receives all rows of the table, each at least as new as version.
 	Replace func(records []foxtailstack.Record, version foxtailstack.StoreVersion)
 	// Update receives the rows that changed since the last call of Replace or
@@ -100,6 +103,7 @@
 	f.version = version
 	if len(records) > 0 {
 		f.Update(records, version)
+		_ = clock.Sleep(ctx, f.ChangePause) // Run checks ctx
 	}
 	return nil
 }
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -197,6 +198,46 @@
 	}
 }
 
+// Guards against a call to the store for each of the changes that several writers make at
+// nearly the same time: a Follower with a ChangePause gets the first at once, and the
+// others together.
+func TestFollowerPausesAfterChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &fakeFeed{}
+		f.put("a", "1")
+		var updates [][]string
+		follower := &watch.Follower{
+			Feed:            f,
+			LongPollTimeout: time.Minute,
+			ChangePause:     time.Second,
+			Replace:         func([]foxtailstack.Record, foxtailstack.StoreVersion) {},
+			Update: func(records []foxtailstack.Record, _ foxtailstack.StoreVersion) {
+				var names []string
+				for _, r := range records {
+					names = append(names, r.Name)
+				}
+				slices.Sort(names)
+				updates = append(updates, names)
+			},
+			Now: func() time.Duration { return 0 },
+			Log: zap.NewNop(),
+		}
+		go follower.Run(ctx)
+		time.Sleep(time.Second)
+		for _, name := range []string{"b", "c", "d"} {
+			f.put(name, "1")
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		cancel()
+		synctest.Wait()
+		if diff := cmp.Diff([][]string{{"b"}, {"c", "d"}}, updates); diff != "" {
+			t.Errorf("updates (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // During an outage a Follower backs off and makes at most a few calls a second.
 func TestFollowerPausesInOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
