Count only the events left when a broken stream goes on

What callers saw: a stream that broke near its end was cut, though another rank could have sent the few events left before its deadline.

Cause: the estimate of the time that a stream needs took all its events, also when it goes on after a break or its caller asks for the rest only.

Why this works: events that the caller has are taken off. TestStreamResumesNearItsEnd failed before (truncated after event 45 of 50).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -54,7 +54,7 @@
 			Upstream:     u.Name,
 			Timeout:      time.Until(c.deadline),
 			Team:         c.team,
-			LastEventID:  max(c.stream.lastEventID, c.requestInfo.LastEventID),
+			LastEventID:  c.receivedEvents(),
 			HasLastEvent: c.requestInfo.HasLastEvent || c.stream.lastEventID > 0,
 		}),
 		Body: c.body,
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -214,7 +214,7 @@
 }
 
 // estimateTimes sets the time estimates of a request to a group. An event of a
-// stream takes a pass. A stream whose events come further apart than the route
+// stream takes a pass; the events that the caller has already are not made again. A stream whose events come further apart than the route
 // allows misses its target whenever it starts. Its soft deadline is therefore the
 // time of arrival, so that it counts as late from the start and the queue serves
 // requests that can still be on time before it.
@@ -232,12 +232,18 @@
 	if c.route.Kind == route.Stream && !c.stream.headerSent {
 		request.AbandonAt = c.arrived.Add(c.route.AbandonTimeout())
 	}
-	events := int64(tokens) / int64(max(group.TokenStepsPerPass, 1))
-	request.MinServiceTime = request.TimeToFirstEvent + time.Duration(lengthHintFactor*float64(events))*max(passTime, minPassTime)
+	events := int64(tokens)/int64(max(group.TokenStepsPerPass, 1)) - c.receivedEvents()
+	request.MinServiceTime = request.TimeToFirstEvent + time.Duration(lengthHintFactor*float64(max(events, 0)))*max(passTime, minPassTime)
 	c.minServiceTime = request.MinServiceTime
 	c.abandonAt = request.AbandonAt
 }
 
+// receivedEvents returns the ID of the last event that the caller has. Upstreams number
+// the events of a stream from one.
+func (c *call) receivedEvents() int64 {
+	return max(c.stream.lastEventID, c.requestInfo.LastEventID)
+}
+
 // mayRetry reports whether another attempt is allowed by the route, the limits on
 // failures and the retry budget. The budget is not needed as long as nothing was
 // sent, nor if checkLeave has taken the attempt from it already; mayRetry uses up
