Wait for the state that TestAbort tests

The test gave the sender 100 ms of real time to fill the receive buffer of an upstream that does not read. Beside load the sender had sent nothing by then, so that the upstream read a clean end in place of a reset; the program was right. The test now waits until the upstream has stayed behind for 40 looks.

--- a/exchange/conn_test.go
+++ b/exchange/conn_test.go
@@ -294,7 +294,7 @@
 				}, codec{})
 				ended <- err
 			}()
-			time.Sleep(100 * time.Millisecond) // fills the receive buffer of the upstream, which does not read
+			awaitAcknowledgement(t, conn, test.length == 0)
 			conn.Abort()
 			if err := <-ended; !errors.Is(err, exchange.ErrBroken) {
 				t.Errorf("got error %v, want %v", err, exchange.ErrBroken)
@@ -312,6 +312,27 @@
 	}
 }
 
+// awaitAcknowledgement waits until the upstream, which does not read, has acknowledged all
+// that was sent, or until it stays behind because its receive buffer is full.
+func awaitAcknowledgement(t *testing.T, conn *exchange.Conn, all bool) {
+	t.Helper()
+	const (
+		steadyLooks = 40
+		interval    = 5 * time.Millisecond
+		timeout     = time.Minute
+	)
+	deadline := time.Now().Add(timeout)
+	for steady := 0; steady < steadyLooks; steady++ {
+		if time.Now().After(deadline) {
+			t.Fatalf("acknowledged all: got %t for %s, want %t", !all, timeout, all)
+		}
+		if conn.Unacknowledged() == all {
+			steady = 0
+		}
+		time.Sleep(interval)
+	}
+}
+
 // Guards against the reuse of a connection whose upstream responded before it had
 // read a long body: it would read the next request as part of that body.
 func TestEarlyResponseToLongBody(t *testing.T) {
--- /dev/null
+++ b/exchange/export_test.go
@@ -0,0 +1,8 @@
+package exchange
+
+import "net"
+
+// Unacknowledged reports whether the peer has not acknowledged all sent bytes.
+func (c *Conn) Unacknowledged() bool {
+	return c.unacknowledged(c.raw.(*net.TCPConn))
+}
