Make at least one timed call for each caller in the measurement of the path

Beside load all callers could begin after the end of the measured time, and the percentile of no times panicked: a fault of the program, not of the test. Each caller now makes one timed call at least.

--- a/measure/path.go
+++ b/measure/path.go
@@ -134,7 +134,7 @@
 	cpu     time.Duration
 }
 
-// drive has n callers make calls for a time, after a first one each.
+// drive has n callers make calls for a time, at least one each, after a first one each.
 func drive(ctx context.Context, call callFunc, n int, d time.Duration) (run, error) {
 	var mu sync.Mutex
 	var result run
@@ -149,10 +149,13 @@
 			warm.Done()
 			<-begin
 			var times []time.Duration
-			for err == nil && time.Now().Before(end) {
+			for err == nil {
 				began := time.Now()
 				err = call(ctx)
 				times = append(times, time.Since(began))
+				if !time.Now().Before(end) {
+					break
+				}
 			}
 			mu.Lock()
 			defer mu.Unlock()
