Wait for the end of crashed engines in the scenario scripts

TestScenario/crash failed beside load with 'engines [engine3] have crashed, expected 2'. It was thought that one crash is counted twice. Traced: the request was refused with a time to return above 30 s, so that neither crash was inferred from a lost connection, and each attempt goes to an upstream not tried before. An engine ends its connections when it is killed, and its parent sees the end of the process later; the script looked only once. The count is right, the step was wrong: it now waits until as many as expected have ended.

--- a/scenario/entry_test.go
+++ b/scenario/entry_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 	"syscall"
 
 	"github.com/foxtailstack/foxtailstack"
@@ -60,18 +61,27 @@
 	return names
 }
 
-// crashes checks how many engines have crashed and not been started again.
+// crashes checks how many engines have crashed and not been started again. An engine's
+// connections end before its process can be waited for, so that crashes waits until as
+// many as expected have ended.
 func (s *system) crashes(_ *testscript.TestScript, args []string) error {
 	if len(args) != 1 {
 		return errUsage
 	}
-	got := s.crashed()
-	if strconv.Itoa(len(got)) != args[0] {
+	var got []string
+	err := await(crashTimeout, func() bool {
+		got = s.crashed()
+		return strconv.Itoa(len(got)) == args[0]
+	})
+	if err != nil {
 		return fmt.Errorf("engines %q have crashed, expected %s", got, args[0])
 	}
 	return nil
 }
 
+// crashTimeout is the time within which the end of an engine's process is seen.
+const crashTimeout = 5 * time.Second
+
 // revive starts the crashed engines again, at their addresses.
 func (s *system) revive(_ *testscript.TestScript, _ []string) error {
 	for _, name := range s.crashed() {
