Run TestResponses on the paused clock

The case of a booking past its timeout failed beside load, 988 ms in place of 900 ms: the bound was of real time, and the program right. All cases now run over connections in memory on the runtime's paused clock, and the bound is what the route allows: its timeout of 600 ms and 60 ms for an upstream's own response. Pool takes a function to dial with for that; the timeout of a dial is the same.

--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -36,6 +36,9 @@
 
 // Pool keeps idle connections by upstream. The zero value is ready to use.
 type Pool struct {
+	// Dial establishes connections. If it is nil, they are TCP connections.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 	mu   sync.Mutex
 	idle map[foxtailstack.UpstreamName][]*Conn
 	// dials counts the connections established.
@@ -58,11 +61,7 @@
 		}
 		conn.Close()
 	}
-	dialer := net.Dialer{
-		Timeout:   dialTimeout,
-		KeepAlive: -1, // sends no TCP keep-alive probes
-	}
-	raw, err := dialer.DialContext(ctx, "tcp", string(address))
+	raw, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrDial, err)
 	}
@@ -78,6 +77,19 @@
 	}, nil
 }
 
+// dial establishes a connection.
+func (p *Pool) dial(ctx context.Context, address foxtailstack.Address) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if p.Dial != nil {
+		return p.Dial(ctx, "tcp", string(address))
+	}
+	dialer := net.Dialer{
+		KeepAlive: -1, // sends no TCP keep-alive probes
+	}
+	return dialer.DialContext(ctx, "tcp", string(address))
+}
+
 // Refuses reports whether an upstream refuses connections. An idle connection that is
 // still open shows that it does not; otherwise Refuses dials, and keeps the connection
 // for later requests. Errors other than a refusal, such as a timeout, count as none.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
@@ -30,7 +31,9 @@
 type testGateway struct {
 	gateway *gateway.Gateway
 	server  *httptest.Server
-	view    *watch.View
+	// caller sends the requests of callers.
+	caller *http.Transport
+	view   *watch.View
 	// age is the time that the gateway's clock returns, and so the age of the
 	// configuration.
 	age time.Duration
@@ -48,7 +51,26 @@
 // newTestGatewayFor is like newTestGateway, with workers of the given service.
 func newTestGatewayFor(t *testing.T, service string, workers ...http.HandlerFunc) *testGateway {
 	t.Helper()
-	tg := &testGateway{timeout: time.Second}
+	return newTestGatewayOn(t, nil, service, workers...)
+}
+
+// newTestGatewayOn is like newTestGatewayFor, with all connections on a network in memory
+// unless it is nil.
+func newTestGatewayOn(t *testing.T, network *pipeNetwork, service string, workers ...http.HandlerFunc) *testGateway {
+	t.Helper()
+	tg := &testGateway{
+		timeout: time.Second,
+		caller:  &http.Transport{},
+	}
+	pool := &exchange.Pool{}
+	if network != nil {
+		tg.caller.DialContext = network.dial
+		pool.Dial = network.dial
+	}
+	t.Cleanup(func() {
+		tg.caller.CloseIdleConnections()
+		pool.Sweep(time.Now().Add(time.Hour)) // closes all
+	})
 	tg.view = &watch.View{
 		Decoder: watch.Decoder{
 			ConfigRow: platform.RowConfig,
@@ -58,7 +80,6 @@
 		Log: zap.NewNop(),
 	}
 	scheduler := &dispatch.Scheduler{Fleet: tg.view.Fleet}
-	pool := &exchange.Pool{}
 	crashes := &quarantine.Table{
 		List: &quarantine.List{},
 		Log:  zap.NewNop(),
@@ -83,11 +104,11 @@
 		Now:           func() time.Duration { return tg.age },
 		Log:           zap.NewNop(),
 	}
-	tg.server = httptest.NewServer(tg.gateway)
+	tg.server = network.serve("gateway:80", tg.gateway)
 	t.Cleanup(tg.server.Close)
 	var rows []foxtailstack.Record
 	for i, worker := range workers {
-		server := httptest.NewServer(worker)
+		server := network.serve(fmt.Sprintf("worker-%d:80", i), worker)
 		t.Cleanup(server.Close)
 		rows = append(rows, standin.WorkerRow(fmt.Sprintf("w%d", i), service, server.Listener.Addr().String()))
 	}
@@ -120,7 +141,7 @@
 	for i := 0; i+1 < len(header); i += 2 {
 		request.Header.Set(header[i], header[i+1])
 	}
-	response, err := http.DefaultTransport.RoundTrip(request)
+	response, err := tg.caller.RoundTrip(request)
 	if err != nil {
 		return callerResponse{Truncated: true}
 	}
@@ -208,6 +229,10 @@
 	}
 )
 
+// maxResponseTime is the timeout of the routes, and the time in which an upstream's own
+// response to it is awaited.
+const maxResponseTime = 660 * time.Millisecond
+
 func TestResponses(t *testing.T) {
 	const (
 		lookup  = "/lookup/x"
@@ -348,23 +373,25 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			c := &callCounter{}
-			var workers []http.HandlerFunc
-			for range test.workers {
-				workers = append(workers, inOrder(c, test.workers...))
-			}
-			tg := newTestGateway(t, workers...)
-			began := time.Now()
-			got := tg.send(t, http.MethodPost, test.path)
-			if diff := cmp.Diff(test.want, got); diff != "" {
-				t.Errorf("response differs (-want +got):\n%s", diff)
-			}
-			if n := c.count(); n > test.maxCalls {
-				t.Errorf("workers got %d calls, want at most %d", n, test.maxCalls)
-			}
-			if took := time.Since(began); took > 900*time.Millisecond {
-				t.Errorf("response took %v, want at most 900ms", took)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				c := &callCounter{}
+				var workers []http.HandlerFunc
+				for range test.workers {
+					workers = append(workers, inOrder(c, test.workers...))
+				}
+				tg := newTestGatewayOn(t, &pipeNetwork{}, "drafts", workers...)
+				began := time.Now()
+				got := tg.send(t, http.MethodPost, test.path)
+				if diff := cmp.Diff(test.want, got); diff != "" {
+					t.Errorf("response differs (-want +got):\n%s", diff)
+				}
+				if n := c.count(); n > test.maxCalls {
+					t.Errorf("workers got %d calls, want at most %d", n, test.maxCalls)
+				}
+				if took := time.Since(began); took > maxResponseTime {
+					t.Errorf("response took %v, want at most %v", took, maxResponseTime)
+				}
+			})
 		})
 	}
 }
