Record the end of an attempt before its last frame is sent

What operators saw: a time line in which an entry has the answer before the attempt has ended at its upstream. The sidecar recorded attempt-end after it had sent the last frame. An operator reads causes in the order of the time line, and the frame's timestamp orders what follows after it; so the record was wrong, not the script that demands the order. If the frame can't be sent, attempt-fail follows: the engine has ended and the entry did not hear of it.

TestEndPrecedesLastFrame fails on the former code.

--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -110,7 +110,6 @@
 	}
 	a.flushOutcome(err)
 	if err == nil {
-		a.recordEvent(EventEnd, "")
 		return
 	}
 	a.reportError(ctx, err, tr.engineResponded)
--- a/upstream/transfer.go
+++ b/upstream/transfer.go
@@ -80,6 +80,7 @@
 	if err != nil {
 		return err
 	}
+	a.recordEvent(EventEnd, "") // before the entry learns of it, so that its answer follows
 	return t.send(t.pendingData, &End{
 		Length:   t.length,
 		Checksum: t.checksum.Sum64(),
--- a/upstream/transfer_test.go
+++ b/upstream/transfer_test.go
@@ -1,11 +1,14 @@
 package upstream
 
 import (
+	"context"
 	"errors"
+	"io"
 	"strings"
 	"testing"
 
 	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/timeline"
 	"github.com/foxtailstack/foxtailstack/wire"
 	"github.com/google/go-cmp/cmp"
 )
@@ -71,3 +74,50 @@
 		})
 	}
 }
+
+// answeringEngine is an engine that answers each call with a text.
+type answeringEngine struct {
+	foxtailstack.Engine
+}
+
+func (answeringEngine) Run(context.Context, foxtailstack.EngineCall) (foxtailstack.EngineAnswer, error) {
+	return foxtailstack.EngineAnswer{
+		Status:      200,
+		ContentType: "text/plain",
+		Body:        io.NopCloser(strings.NewReader("answer")),
+	}, nil
+}
+
+// Guards against a time line in which an entry has the answer of an attempt before the
+// attempt has ended at its upstream.
+func TestEndPrecedesLastFrame(t *testing.T) {
+	sidecar, entry := wire.Pipe()
+	a := &attempt{
+		server: &Server{
+			Engine: answeringEngine{},
+			Ring:   &timeline.Ring{},
+		},
+		stream: sidecar,
+		open:   &Open{},
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		a.execute(t.Context())
+	}()
+	var last Frame
+	for last.End == nil {
+		last = Frame{}
+		err := entry.Receive(&last)
+		if err != nil {
+			t.Fatal("receive:", err)
+		}
+	}
+	<-done
+	for _, event := range a.server.Ring.Events() {
+		if event.Kind == EventEnd && event.At.Before(*last.Timestamp) {
+			return
+		}
+	}
+	t.Errorf("no event %q before the last frame, at %v: %v", EventEnd, *last.Timestamp, a.server.Ring.Events())
+}
