--- a/scenario/entry_test.go
+++ b/scenario/entry_test.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 	"syscall"
+	"time"
 
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/rogpeppe/go-internal/testscript"
