--- a/machine/entry.go
+++ b/machine/entry.go
@@ -67,6 +67,7 @@
 type Entry struct {
 	settings          platform.Settings
 	log               *zap.Logger
+	store             *platform.Store
 	view              *watch.View
 	scheduler         *dispatch.Scheduler
 	pool              *exchange.Pool
@@ -83,6 +84,7 @@
 	e := &Entry{
 		settings: cfg,
 		log:      log,
+		store:    platform.NewStore(cfg.StoreURL),
 		pool:     &exchange.Pool{},
 	}
 	e.view = newView(log)
@@ -92,7 +94,7 @@
 	}
 	e.crashes = &quarantine.Table{
 		List:      &quarantine.List{},
-		Writer:    platform.NewStore(cfg.StoreURL),
+		Writer:    e.store,
 		Name:      platform.TableCrashes,
 		MaxWrites: platform.MaxWrites,
 		Instance:  cfg.Name,
@@ -208,9 +210,8 @@
 // followStore starts to follow the configuration, the list of upstreams and the crashes
 // that entries share.
 func (e *Entry) followStore(ctx context.Context) {
-	store := platform.NewStore(e.settings.StoreURL)
 	configFollower := &watch.Follower{
-		Feed:            store,
+		Feed:            e.store,
 		Table:           platform.TableConfig,
 		LongPollTimeout: configPollTimeout(e.settings.Bounds.KeyRevocation),
 		Replace:         e.view.SetConfig,
@@ -220,7 +221,7 @@
 		Log:             e.log,
 	}
 	fleetFollower := &watch.Follower{
-		Feed:            store,
+		Feed:            e.store,
 		Table:           platform.TableUpstreams,
 		LongPollTimeout: fleetPollTimeout,
 		Replace:         e.view.ReplaceFleet,
@@ -229,7 +230,7 @@
 		Log:             e.log,
 	}
 	crashFollower := &watch.Follower{
-		Feed:            store,
+		Feed:            e.store,
 		Table:           platform.TableCrashes,
 		LongPollTimeout: crashPollTimeout,
 		ChangePause:     crashChangePause,
