End the admission of an attempt in the attempt itself

A panic within an attempt would have left its turn taken; none is known. Found on reading the diff. The comment on the estimates is wrapped anew.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -7,12 +7,15 @@
 
 	"github.com/foxtailstack/foxtailstack/dispatch"
 	"github.com/foxtailstack/foxtailstack/exchange"
+	"github.com/foxtailstack/foxtailstack/quarantine"
 	"github.com/foxtailstack/foxtailstack/route"
 	"go.uber.org/zap"
 )
 
-// attempt sends the request to the reserved upstream and relays its response.
-func (c *call) attempt(ctx context.Context, reservation *dispatch.Reservation) attemptResult {
+// attempt sends the request to the reserved upstream and relays its response. It ends
+// the admission.
+func (c *call) attempt(ctx context.Context, reservation *dispatch.Reservation, admission quarantine.Admission) attemptResult {
+	defer admission.Release()
 	began := time.Now()
 	u := reservation.Upstream
 	c.upstream = u.Name
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -123,9 +123,7 @@
 			c.giveUp(ctx, err)
 			return
 		}
-		result := c.attempt(ctx, reservation)
-		admission.Release()
-		switch result {
+		switch c.attempt(ctx, reservation, admission) {
 		case resultServed:
 			return
 		case resultGiveUp:
@@ -214,10 +212,10 @@
 }
 
 // estimateTimes sets the time estimates of a request to a group. An event of a
-// stream takes a pass; the events that the caller has already are not made again. A stream whose events come further apart than the route
-// allows misses its target whenever it starts. Its soft deadline is therefore the
-// time of arrival, so that it counts as late from the start and the queue serves
-// requests that can still be on time before it.
+// stream takes a pass; events that the caller has are not made again. A stream whose
+// events come further apart than the route allows misses its target whenever it
+// starts. Its soft deadline is therefore the time of arrival, so that it counts as late
+// from the start and the queue serves requests that can still be on time before it.
 func (c *call) estimateTimes(request *dispatch.Request, group *route.Group) {
 	passTime := c.gateway.Scheduler.PassTime(c.service)
 	request.SoftDeadline = c.arrived.Add(c.route.TargetLatency - minTimeToFirstEvent)
