Word the stand-ins, the soak and the time line in the usual terms

Comments and names that a newcomer stumbles over: faults that a table or an engine injects, proxies in place of ways, what the records of the soak hold.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -16,7 +16,7 @@
 // streamEvents is the number of events of a stream.
 const streamEvents = 12
 
-// ledger is what upstreams have run.
+// ledger counts the runs of each request at all upstreams.
 type ledger struct {
 	mu   sync.Mutex
 	runs map[string]int
@@ -64,14 +64,14 @@
 	}
 }
 
-// call is one request as its caller saw it.
+// call is a request with the response that its caller received.
 type call struct {
 	id, kind, key string
 	entry         int
 	sent, ended   time.Time
 	status        int
 	body          string
-	// whole tells that the answer came to its end.
+	// whole is set if the response was complete.
 	whole bool
 }
 
@@ -80,7 +80,8 @@
 	return c.status == http.StatusOK && c.whole
 }
 
-// wrong returns what is wrong with a success, or nothing.
+// wrong describes how the body of a success differs from the expected one; empty if it
+// does not.
 func (c *call) wrong() string {
 	if !c.ok() {
 		return ""
@@ -101,14 +102,14 @@
 	return ""
 }
 
-// callers send requests and keep what they saw.
+// callers sends requests and records the responses.
 type callers struct {
 	system *system
 
 	mu    sync.Mutex
 	next  int
 	calls []*call
-	// keys are in force; gone ones were taken away at a time.
+	// key is in force; gone holds when former keys were removed.
 	key  string
 	gone map[string]time.Time
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -36,8 +36,8 @@
 	settleTime = 3 * time.Second
 	// servedInCalm is the share of requests that must be served in calm.
 	servedInCalm = 0.95
-	// revocationSlack is taken off nothing: it is the time between the taking of
-	// a key here and its confirmation by the store.
+	// revocationSlack covers the time between the removal of a key here and its
+	// confirmation by the store.
 	revocationSlack = 50 * time.Millisecond
 )
 
@@ -99,7 +99,7 @@
 	}
 }
 
-// trouble lets faults overlap for a time and waits until they have ended.
+// trouble injects overlapping faults for a time and waits until they have ended.
 func (s *system) trouble(rng *rand.Rand, c *callers, round int) {
 	var wg sync.WaitGroup
 	until := time.Now().Add(troubleTime)
@@ -107,8 +107,8 @@
 		n := rng.IntN(100)
 		last := time.Duration(300+rng.IntN(2500)) * time.Millisecond
 		p := s.processes[rng.IntN(len(s.processes))]
-		way := s.pickWay(rng)
-		wg.Go(func() { s.fault(n, last, p, way) })
+		target := s.pickProxy(rng)
+		wg.Go(func() { s.fault(n, last, p, target) })
 		time.Sleep(time.Duration(100+rng.IntN(500)) * time.Millisecond)
 	}
 	c.changeKey(round)
@@ -116,8 +116,8 @@
 	s.store.Rows.Set(standin.Faults{})
 }
 
-// pickWay returns a proxy.
-func (s *system) pickWay(rng *rand.Rand) *proxy {
+// pickProxy returns a proxy.
+func (s *system) pickProxy(rng *rand.Rand) *proxy {
 	var names []string
 	for _, p := range s.processes {
 		names = append(names, "store "+p.name)
@@ -128,11 +128,11 @@
 	for i := range plain {
 		names = append(names, fmt.Sprintf("upstream drafts-%d", i))
 	}
-	return s.ways[names[rng.IntN(len(names))]]
+	return s.proxies[names[rng.IntN(len(names))]]
 }
 
-// fault does one thing and undoes it.
-func (s *system) fault(n int, last time.Duration, p *process, way *proxy) {
+// fault injects one fault and ends it.
+func (s *system) fault(n int, last time.Duration, p *process, target *proxy) {
 	switch {
 	case n < 12:
 		s.onProcess(p, func() { s.restart(p, syscall.SIGKILL) })
@@ -147,15 +147,15 @@
 	case n < 38:
 		p.signal(syscall.SIGHUP)
 	case n < 48:
-		s.onWay(way, delay, last)
+		s.onProxy(target, delay, last)
 	case n < 56:
-		s.onWay(way, cut, last)
+		s.onProxy(target, cut, last)
 	case n < 62:
-		s.onWay(way, oneWay, last)
+		s.onProxy(target, oneWay, last)
 	case n < 70:
-		way.reset()
+		target.reset()
 	case n < 78:
-		way.silence()
+		target.silence()
 	case n < 83:
 		s.store.Rows.Set(standin.Faults{Outage: true})
 		time.Sleep(last)
@@ -178,7 +178,7 @@
 	}
 }
 
-// onProcess does something to a process on which nothing else is at work.
+// onProcess calls do unless another fault is in progress on the process.
 func (s *system) onProcess(p *process, do func()) {
 	if !p.take() {
 		return
@@ -202,11 +202,11 @@
 	s.start(p)
 }
 
-// onWay sets the mode of a proxy for a time.
-func (s *system) onWay(way *proxy, m mode, last time.Duration) {
-	way.set(m)
+// onProxy sets the mode of a proxy for a time.
+func (s *system) onProxy(target *proxy, m mode, last time.Duration) {
+	target.set(m)
 	time.Sleep(last)
-	way.set(pass)
+	target.set(pass)
 }
 
 // presentKey returns the key that callers use now.
@@ -276,7 +276,7 @@
 	}
 }
 
-// checkStop checks that a planned stop cut no request that was on its way.
+// checkStop checks that a planned stop cut no request in progress.
 func (s *system) checkStop(p *process, calls []*call, stopped time.Time) {
 	for _, made := range calls {
 		if s.processes[made.entry] != p || s.runs.of(made.id) == 0 {
@@ -289,7 +289,7 @@
 	}
 }
 
-// check checks all promises that hold always.
+// check checks the promises that hold at all times.
 func (s *system) check(c *callers) {
 	for _, made := range c.calls {
 		runs := s.runs.of(made.id)
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -48,11 +48,11 @@
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
-	// busy tells that a fault is at work on the process.
+	// busy is set while a fault is in progress on the process.
 	busy bool
 }
 
-// system is what one run consists of.
+// system holds the stand-ins, proxies and processes of one run.
 type system struct {
 	t         *testing.T
 	dir       string
@@ -61,9 +61,9 @@
 	store     *standin.Server
 	group     *standin.Ranks
 	processes []*process
-	// ways are the proxies, by what they are the way to.
-	ways map[string]*proxy
-	runs *ledger
+	// proxies holds the proxies by the name of what they lead to.
+	proxies map[string]*proxy
+	runs    *ledger
 	// crashes records the requests that crash plain upstreams.
 	crashes *standin.CrashLog
 	stops   []func()
@@ -94,11 +94,13 @@
 			Sets:    standin.ModelSets,
 			Experts: standin.ModelExperts,
 		},
-		ways:    make(map[string]*proxy),
+		proxies: make(map[string]*proxy),
 		runs:    newLedger(),
 		crashes: &standin.CrashLog{},
 	}
-	s.base = freePorts(t, seed)
+	base, release := reservePorts(t, seed)
+	s.base = base
+	s.stops = append(s.stops, release)
 	served := httptest.NewServer(s.store.Handler())
 	s.stops = append(s.stops, served.Close)
 	s.putConfig(1, standin.ConfigKey)
@@ -120,27 +122,27 @@
 	return s
 }
 
-// freePorts returns the first of some ports that are free on the loopback network.
-func freePorts(t *testing.T, seed uint64) int {
+// reservePorts returns the first of some ports that are free on the loopback network.
+// Other runs do not take them until release is called.
+func reservePorts(t *testing.T, seed uint64) (base int, release func()) {
 	for try := range 50 {
 		base := 12000 + int((seed*131+uint64(try)*17)%1500)*ports
 		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", base))
 		if err == nil {
-			_ = listener.Close()
-			return base
+			return base, func() { _ = listener.Close() }
 		}
 	}
 	t.Fatal("no free ports")
-	return 0
+	return 0, nil
 }
 
-// way makes a proxy.
-func (s *system) way(name, address, target string) {
+// addProxy starts a proxy.
+func (s *system) addProxy(name, address, target string) {
 	p, err := newProxy(address, target)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.ways[name] = p
+	s.proxies[name] = p
 	s.stops = append(s.stops, p.close)
 }
 
@@ -149,7 +151,7 @@
 	served := httptest.NewServer(handler)
 	s.stops = append(s.stops, served.CloseClientConnections, served.Close)
 	name := fmt.Sprintf("%s-%d", service, i)
-	s.way("upstream "+name, s.address(kind, i, upstreamPort), served.Listener.Addr().String())
+	s.addProxy("upstream "+name, s.address(kind, i, upstreamPort), served.Listener.Addr().String())
 	s.register(kind, i, service, name)
 	return served
 }
@@ -189,7 +191,7 @@
 func (s *system) process(role string, kind, i int, store string) {
 	name := fmt.Sprintf("%s-%d", role, i)
 	machine := len(s.processes)
-	s.way("store "+name, s.address(storeMachine, machine, storePort), store)
+	s.addProxy("store "+name, s.address(storeMachine, machine, storePort), store)
 	host, _, _ := net.SplitHostPort(s.address(kind, i, 0)) // the address is one of ours
 	text := fmt.Sprintf(`nodeName = %q
 ip = %q
@@ -270,7 +272,7 @@
 	return p.done
 }
 
-// take reserves a process for a fault, or reports that another is at work.
+// take reserves a process for a fault. It returns false if another is in progress.
 func (p *process) take() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -312,7 +314,7 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// tail returns the last lines of all logs.
+// tail returns the end of each log.
 func (s *system) tail() string {
 	var b bytes.Buffer
 	for _, p := range s.processes {
--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -10,7 +10,7 @@
 // defaultSize is the number of events in a Ring that names none.
 const defaultSize = 4096
 
-// Kind names what happened.
+// Kind is the kind of an event.
 type Kind string
 
 // Timestamp is a hybrid logical timestamp.
