--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -32,7 +32,7 @@
 	worker := inOrder(&callCounter{}, breaking, resuming)
 	tg := newTestGatewayFor(t, "models", worker, worker)
 	tg.timeout = 2 * time.Second
-	got := tg.send(t, http.MethodPost, "/model/x", "Token-Usage", "10,250") // 5 tokens an event
+	got := tg.send(t, http.MethodPost, "/model/x", standin.HeaderTokens, "10,250") // 5 tokens an event
 	want := callerResponse{
 		Status: http.StatusOK,
 		Body:   wantEvents(1, events),
