--- a/machine/crash_test.go
+++ b/machine/crash_test.go
@@ -56,8 +56,8 @@
 	stops   []context.CancelFunc
 }
 
-// newCrashSystem starts the workers and the entries.
-func newCrashSystem(t *testing.T, mode standin.CrashMode) *crashSystem {
+// newCrashSystem starts the workers of a service and the entries.
+func newCrashSystem(t *testing.T, service string, mode standin.CrashMode) *crashSystem {
 	t.Helper()
 	s := &crashSystem{
 		store: &standin.Server{},
@@ -75,7 +75,7 @@
 	for i := range crashWorkers {
 		worker := &standin.CrashWorker{
 			Name:     fmt.Sprintf("w%d", i),
-			Service:  "drafts",
+			Service:  service,
 			Mode:     mode,
 			Downtime: crashDowntime,
 			Work:     crashWork,
@@ -191,13 +191,18 @@
 // any entry, each time its caller sends it again.
 func TestCrashingRequestIsQuarantined(t *testing.T) {
 	tests := map[string]struct {
-		path string
-		mode standin.CrashMode
+		path    string
+		service string
+		mode    standin.CrashMode
 	}{
 		"lookup":        {path: "/lookup/x"},
 		"booking":       {path: "/booking/x"},
 		"stream":        {path: "/stream/x"},
 		"without a key": {path: "/public/x"},
+		"stream to ranks": {
+			path:    "/model/x",
+			service: "models",
+		},
 		"upstreams keep their names": {
 			path: "/lookup/x",
 			mode: standin.CrashMode{KeepsName: true},
@@ -210,7 +215,10 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := newCrashSystem(t, test.mode)
+			if test.service == "" {
+				test.service = "drafts"
+			}
+			s := newCrashSystem(t, test.service, test.mode)
 			s.sendCrashes(test.path)
 			t.Logf("%d crashes", len(s.log.Crashes()))
 			if got := s.retriesBeyond(); got > allowedRetries {
@@ -223,7 +231,7 @@
 // Guards against a quarantine that ends when an entry starts anew.
 func TestQuarantineOutlivesEntries(t *testing.T) {
 	t.Parallel()
-	s := newCrashSystem(t, standin.CrashMode{})
+	s := newCrashSystem(t, "drafts", standin.CrashMode{})
 	s.sendCrashes("/lookup/x")
 	before := len(s.log.Crashes())
 	for i, stop := range s.stops {
@@ -244,7 +252,7 @@
 // each upstream runs one when it crashes.
 func TestOthersAreServedBesideCrashes(t *testing.T) {
 	t.Parallel()
-	s := newCrashSystem(t, standin.CrashMode{})
+	s := newCrashSystem(t, "drafts", standin.CrashMode{})
 	var served, sent atomic.Int64
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
