Let the follower end before its test does

Traced: a stand-in feed looks for changes each 10 ms and notices the end of its context only then, which synctest.Wait does not wait for. The test now lets that time pass, as the other tests of the follower do.

--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -231,6 +231,7 @@
 		}
 		time.Sleep(2 * time.Second)
 		cancel()
+		time.Sleep(time.Minute) // lets the goroutine of the Follower end before the bubble does
 		synctest.Wait()
 		if diff := cmp.Diff([][]string{{"b"}, {"c", "d"}}, updates); diff != "" {
 			t.Errorf("updates (-want +got):\n%s", diff)
