--- a/exchange/codec.go
+++ b/exchange/codec.go
@@ -11,6 +11,9 @@
 // ID; further attempts by the gateway have the same one.
 type RequestID string
 
+// PromptPart identifies one part of a prompt by its content. Prompts share parts.
+type PromptPart string
+
 // RequestInfo is the content of the header of a caller's request.
 type RequestInfo struct {
 	ID RequestID
@@ -29,6 +32,9 @@
 	// ExpectedOutputTokens is the caller's estimate of the length of the output;
 	// zero if unknown.
 	ExpectedOutputTokens foxtailstack.Tokens
+	// SharedParts holds the parts of the prompt in their order, except the last one,
+	// which no other request has.
+	SharedParts []PromptPart
 }
 
 // Attempt is the information that the system adds to one attempt at a request.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
@@ -271,7 +272,9 @@
 		zap.String("request", string(c.requestInfo.ID)),
 		zap.String("upstream", string(c.upstream)),
 		zap.Int64("event", c.stream.lastEventID),
+		zap.Bool("begun", c.responseBegun),
 		zap.Stringer("fingerprint", c.fingerprint),
+		zap.String("parts", joinParts(c.requestInfo.SharedParts)),
 		zap.Error(err))
 }
 
@@ -306,6 +309,7 @@
 		zap.String("reason", string(reason)),
 		zap.Int("sends", c.sendCount),
 		zap.Stringer("fingerprint", c.fingerprint),
+		zap.String("parts", joinParts(c.requestInfo.SharedParts)),
 		zap.Int64("events", c.stream.lastEventID),
 		zap.Duration("waited", c.queueTime),
 		zap.Duration("first", c.timeToFirstByte),
@@ -315,3 +319,15 @@
 		zap.Uint64("config", config),
 		zap.Duration("age", c.gateway.View.ConfigAge(c.gateway.Now())))
 }
+
+// joinParts returns the parts of a prompt in one field of the log.
+func joinParts(parts []exchange.PromptPart) string {
+	var b strings.Builder
+	for i, part := range parts {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(string(part))
+	}
+	return b.String()
+}
