--- a/machine/crash_test.go
+++ b/machine/crash_test.go
@@ -56,8 +56,8 @@
 	stops   []context.CancelFunc
 }
 
-// newCrashSystem starts the workers of a service and the entries.
-func newCrashSystem(t *testing.T, service string, mode standin.CrashMode) *crashSystem {
+// newStore starts the store. There are no workers and no entries yet.
+func newStore(t *testing.T) *crashSystem {
 	t.Helper()
 	s := &crashSystem{
 		store: &standin.Server{},
@@ -72,6 +72,13 @@
 		Key:   row.Name,
 		Value: row.Value,
 	})
+	return s
+}
+
+// newCrashSystem starts the workers of a service and the entries.
+func newCrashSystem(t *testing.T, service string, mode standin.CrashMode) *crashSystem {
+	t.Helper()
+	s := newStore(t)
 	for i := range crashWorkers {
 		worker := &standin.CrashWorker{
 			Name:     fmt.Sprintf("w%d", i),
@@ -87,14 +94,18 @@
 			t.Fatal("start worker:", err)
 		}
 	}
-	for range crashEntries {
-		s.entries = append(s.entries, nil)
-		s.stops = append(s.stops, nil)
-	}
+	s.startEntries(t)
+	return s
+}
+
+// startEntries starts all entries.
+func (s *crashSystem) startEntries(t *testing.T) {
+	t.Helper()
+	s.entries = make([]*Entry, crashEntries)
+	s.stops = make([]context.CancelFunc, crashEntries)
 	for i := range s.entries {
 		s.startEntry(t, i)
 	}
-	return s
 }
 
 // startEntry starts an entry and waits until it is ready.
