--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -17,6 +17,11 @@
 	probeTimeout = 100 * time.Millisecond
 	// probeTTL is how long the result of a probe holds for other attempts.
 	probeTTL = 200 * time.Millisecond
+	// firstReprobeDelay is the time from a lost connection to an upstream that still
+	// accepts connections to the next probe; it doubles up to maxReprobes probes. The
+	// connections of a process that ends are not all closed at the same moment.
+	firstReprobeDelay = 20 * time.Millisecond
+	maxReprobes       = 5
 	// unansweredTTL is the time within which an upstream must start again for its
 	// unanswered attempts to count as its crash. It covers a restart and the delay of
 	// the list of upstreams.
@@ -47,6 +52,8 @@
 	mu         sync.Mutex
 	unanswered []unanswered
 	probes     map[CrashID]*probe
+	// reprobed holds the upstreams whose connections were lost and that are probed again.
+	reprobed map[CrashID]bool
 }
 
 // unanswered is an attempt without an answer whose upstream may have crashed.
@@ -75,6 +82,7 @@
 		return
 	}
 	d.Unanswered(key, u)
+	d.startReprobes(u)
 }
 
 // Unanswered records that an upstream did not answer a request that it may have been
@@ -99,13 +107,19 @@
 // FleetChanged reports the crashes that the present list of upstreams shows: an upstream
 // has started anew since an attempt that it did not answer.
 func (d *Detector) FleetChanged() {
+	fleet := d.Fleet()
+	d.reportUnanswered(fleet.StartedAfter)
+}
+
+// reportUnanswered reports the crashes of the upstreams that have ended, under all
+// attempts that they did not answer.
+func (d *Detector) reportUnanswered(ended func(u route.Upstream) bool) {
 	var crashes []Crash
 	d.mu.Lock()
 	d.dropOld()
-	fleet := d.Fleet()
 	kept := d.unanswered[:0]
 	for _, a := range d.unanswered {
-		if fleet.StartedAfter(a.upstream) {
+		if ended(a.upstream) {
 			crashes = append(crashes, newCrash(a.fingerprint, a.upstream))
 			continue
 		}
@@ -118,6 +132,48 @@
 	}
 }
 
+// startReprobes probes an upstream again unless that is in progress.
+func (d *Detector) startReprobes(u route.Upstream) {
+	id := crashIDOf(u)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.reprobed[id] {
+		return
+	}
+	if d.reprobed == nil {
+		d.reprobed = make(map[CrashID]bool)
+	}
+	d.reprobed[id] = true
+	go d.runReprobes(id, u)
+}
+
+// runReprobes probes an upstream up to maxReprobes times, and reports its crash once it
+// refuses connections.
+func (d *Detector) runReprobes(id CrashID, u route.Upstream) {
+	defer func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.reprobed, id)
+	}()
+	for i := range maxReprobes {
+		time.Sleep(firstReprobeDelay << i)
+		if d.leaving(u) {
+			return
+		}
+		if d.probe(u) {
+			d.reportUnanswered(func(other route.Upstream) bool { return crashIDOf(other) == id })
+			return
+		}
+	}
+}
+
+// probe reports whether an upstream refuses connections.
+func (d *Detector) probe(u route.Upstream) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	return d.Prober.Refuses(ctx, u.Name, u.Address)
+}
+
 // leaving reports whether an upstream drains or has left the list.
 func (d *Detector) leaving(u route.Upstream) bool {
 	current, ok := d.Fleet().Lookup(u.Name)
@@ -158,9 +214,7 @@
 
 // runProbe makes a probe and removes it after probeTTL.
 func (d *Detector) runProbe(p *probe, id CrashID, u route.Upstream) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	p.refused = d.Prober.Refuses(ctx, u.Name, u.Address)
-	cancel()
+	p.refused = d.probe(u)
 	close(p.done)
 	time.AfterFunc(probeTTL, func() {
 		d.mu.Lock()
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -26,6 +26,18 @@
 	return false
 }
 
+// endingProber accepts connections until a time.
+type endingProber struct {
+	until time.Time
+}
+
+func (p endingProber) Refuses(context.Context, foxtailstack.UpstreamName, foxtailstack.Address) bool {
+	return time.Now().After(p.until)
+}
+
+// allReprobes is longer than all probes of one lost connection take.
+const allReprobes = firstReprobeDelay<<maxReprobes + maxReprobes*probeTimeout
+
 // firstStart is the upstream of the tests as it started first.
 var firstStart = route.Upstream{
 	Name:           "w",
@@ -136,7 +148,7 @@
 				if diff := cmp.Diff(test.want, len(list.All())); diff != "" {
 					t.Errorf("number of crashes (-want +got):\n%s", diff)
 				}
-				time.Sleep(probeTTL) // so that no timer is left
+				time.Sleep(max(probeTTL, allReprobes)) // so that no timer is left
 			})
 		})
 	}
@@ -156,6 +168,31 @@
 		if diff := cmp.Diff(probeTimeout, time.Since(began)); diff != "" {
 			t.Errorf("wait (-want +got):\n%s", diff)
 		}
-		time.Sleep(probeTTL)
+		time.Sleep(max(probeTTL, allReprobes))
+	})
+}
+
+// Guards against a crash that is recorded only once the upstream is back, because the
+// listener of the ending process accepts the probe that follows the first lost
+// connection.
+func TestDetectorProbesAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := route.NewFleet(1, []route.Upstream{firstStart})
+		var list List
+		d := &Detector{
+			Fleet:  func() *route.Fleet { return fleet },
+			Prober: endingProber{until: time.Now().Add(5 * time.Millisecond)},
+			Report: func(c Crash) { list.Add(c) },
+		}
+		d.ConnectionLost(t.Context(), Fingerprint{1}, firstStart)
+		d.ConnectionLost(t.Context(), Fingerprint{2}, firstStart)
+		if diff := cmp.Diff(0, len(list.All())); diff != "" {
+			t.Errorf("crashes while the upstream accepts connections (-want +got):\n%s", diff)
+		}
+		time.Sleep(2 * firstReprobeDelay)
+		if diff := cmp.Diff(2, len(list.All())); diff != "" {
+			t.Errorf("crashes after the upstream has ended (-want +got):\n%s", diff)
+		}
+		time.Sleep(max(probeTTL, allReprobes))
 	})
 }
