--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -144,27 +144,25 @@
 		d.reprobed = make(map[CrashID]bool)
 	}
 	d.reprobed[id] = true
-	go d.runReprobes(id, u)
+	d.scheduleReprobe(id, u, 0)
 }
 
-// runReprobes probes an upstream up to maxReprobes times, and reports its crash once it
-// refuses connections.
-func (d *Detector) runReprobes(id CrashID, u route.Upstream) {
-	defer func() {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		delete(d.reprobed, id)
-	}()
-	for i := range maxReprobes {
-		time.Sleep(firstReprobeDelay << i)
-		if d.leaving(u) {
-			return
-		}
-		if d.probe(u) {
+// scheduleReprobe probes an upstream again after the delay of the nth probe. If that is
+// not refused, it schedules the next one, up to maxReprobes.
+func (d *Detector) scheduleReprobe(id CrashID, u route.Upstream, n int) {
+	time.AfterFunc(firstReprobeDelay<<n, func() {
+		refused := !d.leaving(u) && d.probe(u)
+		if refused {
 			d.reportUnanswered(func(other route.Upstream) bool { return crashIDOf(other) == id })
+		}
+		if !refused && n+1 < maxReprobes {
+			d.scheduleReprobe(id, u, n+1)
 			return
 		}
-	}
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.reprobed, id)
+	})
 }
 
 // probe reports whether an upstream refuses connections.
