--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -108,7 +108,7 @@
 // admit returns the admission of one attempt. The error, if any, is an *AttemptError
 // that wraps ErrQuarantined or ErrNoUpstream.
 func (r *retrier) admit(ctx context.Context) (quarantine.Admission, error) {
-	admission, err := r.server.quarantine.Admit(ctx, r.fingerprint)
+	admission, err := r.server.quarantine.Admit(ctx, r.subject())
 	var refused *quarantine.RefusedError
 	switch {
 	case !errors.As(err, &refused):
@@ -119,6 +119,11 @@
 	return admission, unsentError(upstream.ReasonQuarantined, refused.RetryAfter, ErrNoUpstream)
 }
 
+// subject returns what the quarantine knows the request by.
+func (r *retrier) subject() quarantine.Subject {
+	return quarantine.Subject{Request: r.fingerprint}
+}
+
 // fingerprintOf returns the fingerprint of a request: that of its service and body.
 func fingerprintOf(req *request) quarantine.Fingerprint {
 	return quarantine.FingerprintOf([]byte(req.serviceID.String()), req.body)
@@ -158,7 +163,7 @@
 	switch {
 	case err == nil:
 		s.retryBudgets.countSuccess(r.budgetKey())
-		s.quarantine.Served(r.fingerprint)
+		s.quarantine.Served(r.subject())
 	case errors.As(err, &attemptErr) && attemptErr.mayHaveCrashed():
 		s.recordCrash(ctx, Crash{
 			Fingerprint:    r.fingerprint,
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -31,7 +31,8 @@
 	if c.stream.headerSent {
 		resumesTotal.Inc()
 	}
-	c.responseBegun = false
+	c.answer = quarantine.Waiting
+	c.trial = admission.Trial
 	c.setLeaveCheck(conn)
 	in, err := conn.Send(c.outgoing(u), c.gateway.Codec)
 	if err != nil {
@@ -43,7 +44,7 @@
 		return c.notRun(reservation, conn, in)
 	}
 	c.mayHaveRun[u.Name] = true
-	c.responseBegun = true
+	c.answer = quarantine.Started
 	return c.relay(ctx, reservation, conn, in, began)
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -53,11 +53,12 @@
 	team        foxtailstack.TeamName
 	urgency     int
 	body        []byte
-	// fingerprint is set once the body has been read.
-	fingerprint quarantine.Fingerprint
 	arrived     time.Time
 	deadline    time.Time
 	service     foxtailstack.ServiceName
+	// subject is what the quarantine knows the request by. It is set once the service has
+	// been picked.
+	subject quarantine.Subject
 
 	// sentTo holds the upstreams to which the request was written; mayHaveRun
 	// holds those of them that may have run it.
@@ -88,10 +89,11 @@
 	// timeToFirstByte is the time from the arrival of the request to the first
 	// bytes of the response; zero before that.
 	timeToFirstByte time.Duration
-	// upstream is the upstream of the latest attempt, and responseBegun reports that it
-	// has sent the header of a response.
-	upstream      foxtailstack.UpstreamName
-	responseBegun bool
+	// upstream is the upstream of the latest attempt, and trial holds the parts that the
+	// attempt tests. answer is how far the response has come.
+	upstream foxtailstack.UpstreamName
+	trial    []quarantine.Fingerprint
+	answer   quarantine.Progress
 }
 
 // attemptResult states how the request continues after an attempt.
@@ -113,6 +115,7 @@
 	c.sentTo = make(map[foxtailstack.UpstreamName]bool)
 	c.mayHaveRun = make(map[foxtailstack.UpstreamName]bool)
 	c.service = c.route.Pick()
+	c.subject = c.newSubject()
 	c.gateway.RetryBudget.CountRequest(c.service)
 	timeout := c.timeout()
 	c.deadline = c.arrived.Add(timeout)
@@ -160,7 +163,7 @@
 // crashes under an equal request while this one waits, it needs a new admission.
 func (c *call) reserve(ctx context.Context) (*dispatch.Reservation, quarantine.Admission, error) {
 	for {
-		admission, err := c.gateway.Quarantine.List.Admit(ctx, c.fingerprint)
+		admission, err := c.gateway.Quarantine.List.Admit(ctx, c.subject)
 		if err != nil {
 			return nil, admission, err
 		}
@@ -185,19 +188,19 @@
 	defer cancel()
 	stop := context.AfterFunc(admission.Outdated, cancel)
 	defer stop()
-	return c.acquire(ctx, admission.Suspect)
+	return c.acquire(ctx, admission)
 }
 
 // acquire waits for a reservation at an upstream. Once the request was sent to as
 // many upstreams as the route allows, it may go only to these again, and of these
 // only to those that did not run it.
-func (c *call) acquire(ctx context.Context, suspect bool) (*dispatch.Reservation, error) {
+func (c *call) acquire(ctx context.Context, admission quarantine.Admission) (*dispatch.Reservation, error) {
 	request := dispatch.Request{
 		Service:  c.service,
 		Grouped:  c.cfg.Services[c.service].Group != nil,
 		Urgency:  c.urgency,
 		Excluded: c.mayHaveRun,
-		Suspect:  suspect,
+		Suspect:  admission.Suspect,
 		Deadline: c.deadline,
 	}
 	if group := c.cfg.Services[c.service].Group; group != nil {
@@ -272,8 +275,8 @@
 		zap.String("request", string(c.requestInfo.ID)),
 		zap.String("upstream", string(c.upstream)),
 		zap.Int64("event", c.stream.lastEventID),
-		zap.Bool("begun", c.responseBegun),
-		zap.Stringer("fingerprint", c.fingerprint),
+		zap.Stringer("answer", c.answer),
+		zap.Stringer("fingerprint", c.subject.Request),
 		zap.String("parts", joinParts(c.requestInfo.SharedParts)),
 		zap.Error(err))
 }
@@ -308,7 +311,7 @@
 		zap.Int("status", status),
 		zap.String("reason", string(reason)),
 		zap.Int("sends", c.sendCount),
-		zap.Stringer("fingerprint", c.fingerprint),
+		zap.Stringer("fingerprint", c.subject.Request),
 		zap.String("parts", joinParts(c.requestInfo.SharedParts)),
 		zap.Int64("events", c.stream.lastEventID),
 		zap.Duration("waited", c.queueTime),
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -3,22 +3,58 @@
 import (
 	"context"
 	"errors"
+	"strings"
 
 	"github.com/foxtailstack/foxtailstack/exchange"
+	"github.com/foxtailstack/foxtailstack/quarantine"
 	"github.com/foxtailstack/foxtailstack/route"
 )
 
 // checkCrash passes an attempt that failed with err to the detector of crashes if the
 // upstream may have crashed under it. Silence counts only before the response: an
-// upstream that has sent a part of it did not crash when it began to run the request.
+// upstream that has sent a part of it did not crash when it began to run the request. A
+// lost connection counts for the parts of the prompt only before the first content.
 func (c *call) checkCrash(ctx context.Context, u route.Upstream, err error) {
+	attempt := quarantine.Attempt{
+		Subject:  c.subject,
+		Trial:    c.trial,
+		Progress: c.answer,
+	}
 	switch {
 	case errors.Is(err, errSlowRank):
 	case ctx.Err() != nil, errors.Is(err, errStalled):
-		if !c.responseBegun {
-			c.gateway.Crashes.Unanswered(c.fingerprint, u)
+		if attempt.Progress == quarantine.Waiting {
+			c.gateway.Crashes.Unanswered(attempt, u)
 		}
 	case errors.Is(err, exchange.ErrBroken), errors.Is(err, errBrokenOff):
-		c.gateway.Crashes.ConnectionLost(ctx, c.fingerprint, u)
+		c.gateway.Crashes.ConnectionLost(ctx, attempt, u)
+	}
+}
+
+// recordBegun records that the upstream has sent a part of the content of its response.
+func (c *call) recordBegun() {
+	if c.answer == quarantine.Begun {
+		return
+	}
+	c.answer = quarantine.Begun
+	c.gateway.Quarantine.Begun(c.subject)
+}
+
+// newSubject returns what the request may crash an upstream by. The fingerprint of the
+// request stays the same when the caller sends it again to any entry; of its header only
+// the host and the team count.
+func (c *call) newSubject() quarantine.Subject {
+	subject := quarantine.Subject{
+		Request: quarantine.FingerprintOf(
+			[]byte(c.r.Method),
+			[]byte(strings.ToLower(c.r.Host)),
+			[]byte(c.r.RequestURI),
+			[]byte(c.team),
+			c.body,
+		),
+	}
+	for _, part := range c.requestInfo.SharedParts {
+		subject.Parts = append(subject.Parts, quarantine.FingerprintOf([]byte(c.service), []byte(part)))
 	}
+	return subject
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -151,7 +151,6 @@
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
 	if err == nil {
 		c.body = body
-		c.fingerprint = c.computeFingerprint()
 		return true
 	}
 	var tooLong *http.MaxBytesError
@@ -163,18 +162,6 @@
 	return false
 }
 
-// computeFingerprint returns the fingerprint of the request, which stays the same when
-// the caller sends it again to any entry. Of the header only the host and the team count.
-func (c *call) computeFingerprint() quarantine.Fingerprint {
-	return quarantine.FingerprintOf(
-		[]byte(c.r.Method),
-		[]byte(strings.ToLower(c.r.Host)),
-		[]byte(c.r.RequestURI),
-		[]byte(c.team),
-		c.body,
-	)
-}
-
 // endReason states why a request ended. It appears in the log, in metrics and in
 // the body of error responses.
 type endReason string
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -13,10 +13,10 @@
 // recordCrashes records crashes of upstreams under a request.
 func recordCrashes(tg *testGateway, key quarantine.Fingerprint, ids ...quarantine.CrashID) {
 	for _, id := range ids {
-		tg.gateway.Quarantine.Report(quarantine.Crash{
+		tg.gateway.Quarantine.Report([]quarantine.Crash{{
 			Fingerprint: key,
 			ID:          id,
-		})
+		}})
 	}
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -88,7 +88,7 @@
 		conn.Close()
 		return c.failed(ctx, reservation, errTooLong)
 	}
-	c.gateway.Quarantine.Served(c.fingerprint)
+	c.gateway.Quarantine.Served(c.subject)
 	in.Finish(c.gateway.Pool, reservation.Upstream.Name, conn)
 	response := &bufferedResponse{
 		status: in.Status,
@@ -134,6 +134,9 @@
 			conn.Close()
 			return c.failed(ctx, reservation, fmt.Errorf("%w: %w", errBrokenOff, err))
 		}
+		if event.hasData {
+			c.recordBegun()
+		}
 		if !c.sendEvent(event, in.Header) {
 			conn.Close()
 			reservation.Release(dispatch.Report{}) // inconclusive
@@ -141,7 +144,7 @@
 		}
 	}
 	in.Finish(c.gateway.Pool, reservation.Upstream.Name, conn)
-	c.gateway.Quarantine.Served(c.fingerprint)
+	c.gateway.Quarantine.Served(c.subject)
 	reservation.Release(dispatch.Report{Outcome: dispatch.Answered})
 	if !c.stream.headerSent {
 		c.startStream(in.Header)
@@ -206,6 +209,9 @@
 type event struct {
 	id  int64
 	raw []byte
+	// hasData is set if the event has content, as opposed to a comment that only keeps
+	// the connection open.
+	hasData bool
 }
 
 // readEvent reads up to and including the next blank line. It returns io.EOF at
@@ -233,6 +239,7 @@
 		if len(field) == 0 {
 			return e, nil
 		}
+		e.hasData = e.hasData || bytes.HasPrefix(field, []byte("data"))
 		id, ok := bytes.CutPrefix(field, []byte("id:"))
 		if ok {
 			e.id, _ = strconv.ParseInt(string(bytes.TrimSpace(id)), 10, 64) // invalid IDs become zero, which means none
--- a/machine/deadlypart_test.go
+++ b/machine/deadlypart_test.go
@@ -49,7 +49,7 @@
 }
 
 // newPartSystem starts the group and the entries.
-func newPartSystem(t *testing.T, deadly ...string) *partSystem {
+func newPartSystem(t *testing.T, sendsNothing bool, deadly ...string) *partSystem {
 	t.Helper()
 	s := &partSystem{
 		crashSystem: newStore(t),
@@ -60,11 +60,12 @@
 		s.deadly[part] = &standin.CrashLog{}
 	}
 	group := &standin.PartGroup{
-		Size:     partRanks,
-		Service:  "models",
-		Downtime: partDowntime,
-		Deadly:   s.deadly,
-		Store:    &s.store.Rows,
+		Size:         partRanks,
+		Service:      "models",
+		Downtime:     partDowntime,
+		SendsNothing: sendsNothing,
+		Deadly:       s.deadly,
+		Store:        &s.store.Rows,
 	}
 	err := group.Start(t.Context())
 	if err != nil {
@@ -216,9 +217,14 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := newPartSystem(t, test.deadly...)
-			s.run([]string{"a", "b", "c"}, test.prompts)
-			s.check(t)
+			for _, sendsNothing := range []bool{false, true} {
+				t.Run(fmt.Sprintf("sends nothing %t", sendsNothing), func(t *testing.T) {
+					t.Parallel()
+					s := newPartSystem(t, sendsNothing, test.deadly...)
+					s.run([]string{"a", "b", "c"}, test.prompts)
+					s.check(t)
+				})
+			}
 		})
 	}
 }
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -46,8 +46,9 @@
 	// Fleet returns the present list of upstreams.
 	Fleet  func() *route.Fleet
 	Prober Prober
-	// Report receives each crash; a crash may be reported more than once.
-	Report func(Crash)
+	// Report receives each crash under an attempt, once for the request and once for each
+	// part of its prompt; a crash may be reported more than once.
+	Report func(crashes []Crash)
 
 	mu         sync.Mutex
 	unanswered []unanswered
@@ -58,9 +59,9 @@
 
 // unanswered is an attempt without an answer whose upstream may have crashed.
 type unanswered struct {
-	fingerprint Fingerprint
-	upstream    route.Upstream
-	at          time.Time
+	attempt  Attempt
+	upstream route.Upstream
+	at       time.Time
 }
 
 // probe is the check of whether an upstream refuses connections.
@@ -73,21 +74,21 @@
 // ConnectionLost records that the connection to an upstream was lost while it may have
 // been running a request. It returns when it is known whether the upstream refuses
 // connections, and after probeTimeout or the end of ctx at the latest.
-func (d *Detector) ConnectionLost(ctx context.Context, key Fingerprint, u route.Upstream) {
+func (d *Detector) ConnectionLost(ctx context.Context, a Attempt, u route.Upstream) {
 	if d.leaving(u) {
 		return
 	}
 	if d.refuses(ctx, u) {
-		d.Report(newCrash(key, u))
+		d.Report(a.crashes(u))
 		return
 	}
-	d.Unanswered(key, u)
+	d.Unanswered(a, u)
 	d.startReprobes(u)
 }
 
 // Unanswered records that an upstream did not answer a request that it may have been
 // running.
-func (d *Detector) Unanswered(key Fingerprint, u route.Upstream) {
+func (d *Detector) Unanswered(a Attempt, u route.Upstream) {
 	if d.leaving(u) {
 		return
 	}
@@ -98,9 +99,9 @@
 		return
 	}
 	d.unanswered = append(d.unanswered, unanswered{
-		fingerprint: key,
-		upstream:    u,
-		at:          time.Now(),
+		attempt:  a,
+		upstream: u,
+		at:       time.Now(),
 	})
 }
 
@@ -120,15 +121,15 @@
 	kept := d.unanswered[:0]
 	for _, a := range d.unanswered {
 		if ended(a.upstream) {
-			crashes = append(crashes, newCrash(a.fingerprint, a.upstream))
+			crashes = append(crashes, a.attempt.crashes(a.upstream)...)
 			continue
 		}
 		kept = append(kept, a)
 	}
 	d.unanswered = kept
 	d.mu.Unlock()
-	for _, c := range crashes {
-		d.Report(c)
+	if len(crashes) > 0 {
+		d.Report(crashes)
 	}
 }
 
@@ -221,15 +222,6 @@
 	})
 }
 
-// newCrash returns the crash of an upstream while it ran a request.
-func newCrash(key Fingerprint, u route.Upstream) Crash {
-	return Crash{
-		Fingerprint: key,
-		ID:          crashIDOf(u),
-		Upstream:    u.Name,
-	}
-}
-
 // startSeparator stands between the name and the start of an upstream in a CrashID.
 const startSeparator = "@"
 
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -64,8 +64,8 @@
 // Guards against a lost connection or silence that counts as a crash though the upstream
 // goes on or leaves as planned, and against crashes that are missed or counted twice.
 func TestDetector(t *testing.T) {
-	lost := func(d *Detector) { d.ConnectionLost(context.Background(), Fingerprint{}, firstStart) }
-	silent := func(d *Detector) { d.Unanswered(Fingerprint{}, firstStart) }
+	lost := func(d *Detector) { d.ConnectionLost(context.Background(), Attempt{}, firstStart) }
+	silent := func(d *Detector) { d.Unanswered(Attempt{}, firstStart) }
 	tests := map[string]struct {
 		prober Prober
 		before []route.Upstream
@@ -135,7 +135,7 @@
 				d := &Detector{
 					Fleet:  func() *route.Fleet { return fleet },
 					Prober: test.prober,
-					Report: func(c Crash) { list.Add(c) },
+					Report: func(crashes []Crash) { addAll(&list, crashes) },
 				}
 				for _, end := range test.ends {
 					end(d)
@@ -161,10 +161,10 @@
 		d := &Detector{
 			Fleet:  func() *route.Fleet { return fleet },
 			Prober: slowProber{},
-			Report: func(Crash) {},
+			Report: func([]Crash) {},
 		}
 		began := time.Now()
-		d.ConnectionLost(t.Context(), Fingerprint{}, firstStart)
+		d.ConnectionLost(t.Context(), Attempt{}, firstStart)
 		if diff := cmp.Diff(probeTimeout, time.Since(began)); diff != "" {
 			t.Errorf("wait (-want +got):\n%s", diff)
 		}
@@ -182,10 +182,10 @@
 		d := &Detector{
 			Fleet:  func() *route.Fleet { return fleet },
 			Prober: endingProber{until: time.Now().Add(5 * time.Millisecond)},
-			Report: func(c Crash) { list.Add(c) },
+			Report: func(crashes []Crash) { addAll(&list, crashes) },
 		}
-		d.ConnectionLost(t.Context(), Fingerprint{1}, firstStart)
-		d.ConnectionLost(t.Context(), Fingerprint{2}, firstStart)
+		d.ConnectionLost(t.Context(), Attempt{Subject: Subject{Request: Fingerprint{1}}}, firstStart)
+		d.ConnectionLost(t.Context(), Attempt{Subject: Subject{Request: Fingerprint{2}}}, firstStart)
 		if diff := cmp.Diff(0, len(list.All())); diff != "" {
 			t.Errorf("crashes while the upstream accepts connections (-want +got):\n%s", diff)
 		}
@@ -196,3 +196,10 @@
 		time.Sleep(max(probeTTL, allReprobes))
 	})
 }
+
+// addAll adds crashes to a list.
+func addAll(l *List, crashes []Crash) {
+	for _, c := range crashes {
+		l.Add(c)
+	}
+}
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -93,10 +93,10 @@
 					l.Add(c)
 				}
 				if test.clear {
-					l.Served(Fingerprint{})
+					l.Served(Subject{})
 				}
 				time.Sleep(test.wait)
-				p, err := l.Admit(t.Context(), Fingerprint{})
+				p, err := l.Admit(t.Context(), Subject{})
 				if diff := cmp.Diff(test.refused, errors.Is(err, ErrQuarantined)); diff != "" {
 					t.Errorf("refused (-want +got):\n%s", diff)
 				}
@@ -115,19 +115,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		var l List
 		l.Add(Crash{})
-		first, err := l.Admit(t.Context(), Fingerprint{})
+		first, err := l.Admit(t.Context(), Subject{})
 		if err != nil {
 			t.Fatalf("admit the first suspect: %v", err)
 		}
 		began := time.Now()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
-		_, err = l.Admit(ctx, Fingerprint{})
+		_, err = l.Admit(ctx, Subject{})
 		if err == nil || time.Since(began) != maxTurnWait {
 			t.Errorf("got error %v after %s, expected one after %s", err, time.Since(began), maxTurnWait)
 		}
 		time.AfterFunc(time.Second, first.Release)
-		second, err := l.Admit(ctx, Fingerprint{})
+		second, err := l.Admit(ctx, Subject{})
 		if err != nil || !second.Suspect {
 			t.Errorf("got suspect %t and error %v, expected a suspect to be admitted", second.Suspect, err)
 		}
--- a/quarantine/served.go
+++ b/quarantine/served.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// servedLog holds when requests ran to their end, for the last maxServed of them. The
-// zero value is empty.
+// servedLog holds when requests ran to their end, or parts of prompts began to be
+// answered, for the last maxServed of them. The zero value is empty.
 type servedLog struct {
 	at map[Fingerprint]time.Time
 	// ring holds the fingerprints in the order in which they were added, next the place
@@ -12,8 +12,8 @@
 	next int
 }
 
-// add records that a request ran to its end now. If the log is full, it forgets the
-// request that was added first.
+// add records that a request or part was served now. If the log is full, it forgets the
+// one that was added first.
 func (s *servedLog) add(key Fingerprint) {
 	if s.at == nil {
 		s.at = make(map[Fingerprint]time.Time)
@@ -32,8 +32,8 @@
 	s.next = (s.next + 1) % maxServed
 }
 
-// has reports whether a request ran to its end within servedTTL.
-func (s *servedLog) has(key Fingerprint) bool {
+// has reports whether a request or part was served within ttl.
+func (s *servedLog) has(key Fingerprint, ttl time.Duration) bool {
 	at, ok := s.at[key]
-	return ok && time.Since(at) < servedTTL
+	return ok && time.Since(at) < ttl
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -54,30 +54,60 @@
 	wake chan struct{}
 }
 
-// Report records a crash and shares it.
-func (t *Table) Report(c Crash) {
-	n := t.List.Add(c)
-	if n == 0 {
-		return
-	}
-	t.logCrash("crash recorded", c, n, t.Instance)
+// Report records crashes and shares them.
+func (t *Table) Report(crashes []Crash) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.setPending(rowName(c), true)
+	for _, c := range crashes {
+		n := t.List.Add(c)
+		if n == 0 {
+			continue
+		}
+		t.logCrash("crash recorded", c, n, t.Instance)
+		t.setPending(rowName(c), true)
+	}
 }
 
-// Served records that a request has run to its end. If it was a suspect, that is over
+// Served records that a request has run to its end. Suspects in it are none from then on,
 // here and at the other entries.
-func (t *Table) Served(key Fingerprint) {
-	cleared := t.List.Served(key)
+func (t *Table) Served(s Subject) {
+	t.clear(t.List.Served(s))
+}
+
+// Begun records that an answer to a request has begun. Parts of its prompt that are
+// suspects are none from then on, here and at the other entries.
+func (t *Table) Begun(s Subject) {
+	t.clear(t.List.Begun(s))
+}
+
+// clear removes the rows of crashes that no longer count.
+func (t *Table) clear(cleared []Crash) {
 	if len(cleared) == 0 {
 		return
 	}
-	t.Log.Info("suspect cleared", zap.Stringer("fingerprint", key))
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range cleared {
+		t.Log.Info("suspect cleared", zap.Stringer("fingerprint", c.Fingerprint), zap.Stringer("kind", c.Kind))
+		t.removeRows(c)
+	}
+}
+
+// removeRows lets Run remove the rows of a crash. Entries may have recorded it under the
+// same part as several kinds. The caller holds mu.
+func (t *Table) removeRows(c Crash) {
+	if c.Kind == KindRequest {
 		t.setPending(rowName(c), false)
+		return
+	}
+	for _, kind := range partKinds {
+		c.Kind = kind
+		row := rowName(c)
+		_, known := t.rows[row]
+		_, pending := t.pending[row]
+		if known || pending {
+			t.setPending(row, false)
+		}
 	}
 }
 
@@ -134,7 +164,7 @@
 			continue
 		}
 		t.rows[record.Name] = struct{}{}
-		if t.List.ServedRecently(c.Fingerprint) {
+		if t.List.ServedRecently(c) {
 			t.setPending(record.Name, false)
 			continue
 		}
@@ -275,23 +305,29 @@
 	}
 }
 
-// logCrash logs a crash. n is the number of crashes of the request that are recorded, by
-// the entry that found it.
+// logCrash logs a crash. n is the number of crashes that are recorded under the same
+// request or part, by the entry that found it.
 func (t *Table) logCrash(message string, c Crash, n int, by foxtailstack.InstanceName) {
 	t.Log.Info(message,
 		zap.Stringer("fingerprint", c.Fingerprint),
+		zap.Stringer("kind", c.Kind),
 		zap.String("crash", string(c.ID)),
 		zap.Int("crashes", n),
-		zap.Bool("quarantined", n >= crashesToQuarantine),
+		zap.Bool("quarantined", t.List.Quarantined(c.Fingerprint)),
 		zap.String("by", string(by)))
 }
 
-// rowSeparator stands between the fingerprint and the CrashID in the name of a row.
+// rowSeparator stands between the kind, the fingerprint and the CrashID in the name of a
+// row. Rows of the kind KindRequest have no kind in their names.
 const rowSeparator = "/"
 
 // rowName returns the name of the row of a crash.
 func rowName(c Crash) string {
-	return c.Fingerprint.String() + rowSeparator + string(c.ID)
+	name := c.Fingerprint.String() + rowSeparator + string(c.ID)
+	if c.Kind == KindRequest {
+		return name
+	}
+	return c.Kind.String() + rowSeparator + name
 }
 
 // errRowName is returned for the name of a row that does not name a crash.
@@ -299,14 +335,27 @@
 
 // parseRowName returns the crash that a row stands for.
 func parseRowName(name string) (Crash, error) {
-	digits, id, ok := strings.Cut(name, rowSeparator)
+	kind, rest := parseRowKind(name)
+	digits, id, ok := strings.Cut(rest, rowSeparator)
 	data, err := hex.DecodeString(digits)
 	if !ok || id == "" || err != nil || len(data) != len(Fingerprint{}) {
 		return Crash{}, fmt.Errorf("%w: %q", errRowName, name)
 	}
 	return Crash{
 		Fingerprint: Fingerprint(data),
+		Kind:        kind,
 		ID:          CrashID(id),
 		Upstream:    CrashID(id).upstream(),
 	}, nil
 }
+
+// parseRowKind returns the kind in the name of a row and the rest of the name.
+func parseRowKind(name string) (Kind, string) {
+	for _, kind := range partKinds {
+		rest, ok := strings.CutPrefix(name, kind.String()+rowSeparator)
+		if ok {
+			return kind, rest
+		}
+	}
+	return KindRequest, name
+}
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -122,10 +122,10 @@
 func TestTableSharesCrashes(t *testing.T) {
 	runTables(t, func(t *testing.T, s *testStore, a, b *Table) {
 		s.fail(3)
-		a.Report(crashOf(1, "v@1"))
-		b.Report(crashOf(1, "v@1"))
-		a.Report(crashOf(2, "v@1"))
-		b.Report(crashOf(2, "w@1"))
+		a.Report([]Crash{crashOf(1, "v@1")})
+		b.Report([]Crash{crashOf(1, "v@1")})
+		a.Report([]Crash{crashOf(2, "v@1")})
+		b.Report([]Crash{crashOf(2, "w@1")})
 		time.Sleep(5 * time.Second)
 		for name, table := range map[string]*Table{
 			"a":     a,
@@ -147,13 +147,13 @@
 func TestTableClearsSuspects(t *testing.T) {
 	runTables(t, func(t *testing.T, s *testStore, a, b *Table) {
 		for n := range byte(7) {
-			a.Report(crashOf(n, "v@1"))
+			a.Report([]Crash{crashOf(n, "v@1")})
 		}
-		a.Report(crashOf(0, "w@1"))
+		a.Report([]Crash{crashOf(0, "w@1")})
 		time.Sleep(time.Second)
 		before := s.callCount()
 		for n := range byte(7) {
-			b.Served(Fingerprint{n})
+			b.Served(Subject{Request: Fingerprint{n}})
 		}
 		time.Sleep(3 * clearDelay)
 		var want []string
@@ -178,10 +178,10 @@
 // ran on two upstreams that crashed at once for another reason.
 func TestTableKeepsServedRequests(t *testing.T) {
 	runTables(t, func(t *testing.T, s *testStore, a, b *Table) {
-		a.Served(Fingerprint{1})
+		a.Served(Subject{Request: Fingerprint{1}})
 		time.Sleep(servedTTL / 2)
-		b.Report(crashOf(1, "v@1"))
-		b.Report(crashOf(1, "w@1"))
+		b.Report([]Crash{crashOf(1, "v@1")})
+		b.Report([]Crash{crashOf(1, "w@1")})
 		time.Sleep(2 * clearDelay)
 		for name, table := range map[string]*Table{
 			"a": a,
@@ -192,8 +192,8 @@
 			}
 		}
 		time.Sleep(servedTTL)
-		b.Report(crashOf(1, "v@2"))
-		b.Report(crashOf(1, "w@2"))
+		b.Report([]Crash{crashOf(1, "v@2")})
+		b.Report([]Crash{crashOf(1, "w@2")})
 		time.Sleep(2 * clearDelay)
 		if !a.List.Quarantined(Fingerprint{1}) {
 			t.Errorf("a request that was last served longer than %s before is not in quarantine", servedTTL)
@@ -201,11 +201,58 @@
 	})
 }
 
+// Guards against a part of prompts that crashes one upstream by each entry, against parts
+// that stay suspects elsewhere after an answer to them has begun, and against rows of them
+// that stay.
+func TestTableSharesParts(t *testing.T) {
+	runTables(t, func(t *testing.T, s *testStore, a, b *Table) {
+		bad := subjectOf("bad")
+		trial := Attempt{
+			Subject: bad,
+			Trial:   bad.Parts,
+		}
+		sound := subjectOf("sound")
+		waiting := Attempt{Subject: sound}
+		a.Report(trial.crashes(firstStart))
+		a.Report(waiting.crashes(started("x", 1)))
+		trial.Progress = Started
+		b.Report(trial.crashes(firstStart))
+		time.Sleep(time.Second)
+		for name, table := range map[string]*Table{
+			"a":     a,
+			"b":     b,
+			"later": s.start(t.Context()),
+		} {
+			got := map[string]standing{
+				"bad":   standingOf(t, table.List, "bad"),
+				"sound": standingOf(t, table.List, "sound"),
+			}
+			want := map[string]standing{
+				"bad":   refused,
+				"sound": suspect,
+			}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("%s: requests by their parts (-want +got):\n%s", name, diff)
+			}
+		}
+		b.Served(sound)
+		time.Sleep(2 * clearDelay)
+		if diff := cmp.Diff(free, standingOf(t, a.List, "sound")); diff != "" {
+			t.Errorf("a part answered at another entry (-want +got):\n%s", diff)
+		}
+		for _, row := range s.all() {
+			if strings.Contains(row.Name, sound.Parts[0].String()) {
+				t.Errorf("row %s is left", row.Name)
+			}
+		}
+	})
+}
+
 // Guards against rows that stay in the store for ever.
 func TestTableRemovesExpiredRows(t *testing.T) {
 	runTables(t, func(t *testing.T, s *testStore, a, b *Table) {
-		a.Report(crashOf(1, "v@1"))
-		b.Report(crashOf(1, "w@1"))
+		a.Report([]Crash{crashOf(1, "v@1")})
+		b.Report([]Crash{crashOf(1, "w@1")})
 		time.Sleep(crashTTL - time.Second)
 		if diff := cmp.Diff(2, len(s.all())); diff != "" {
 			t.Errorf("rows before the end of their time (-want +got):\n%s", diff)
@@ -221,10 +268,10 @@
 // lost, and against crashes that are forgotten before they could be written.
 func TestTableReplace(t *testing.T) {
 	runTables(t, func(t *testing.T, s *testStore, a, b *Table) {
-		b.Report(crashOf(1, "v@1"))
+		b.Report([]Crash{crashOf(1, "v@1")})
 		time.Sleep(time.Second)
 		s.fail(1000)
-		a.Report(crashOf(2, "v@1"))
+		a.Report([]Crash{crashOf(2, "v@1")})
 		a.Replace([]foxtailstack.Record{{Name: "strange"}, {Name: strings.Repeat("0", 32) + rowSeparator}}, 0)
 		if diff := cmp.Diff([]Crash{crashOf(2, "v@1")}, a.List.All()); diff != "" {
 			t.Errorf("crashes (-want +got):\n%s", diff)
@@ -236,7 +283,7 @@
 // and is sent on the admission from before.
 func TestAdmissionOutdated(t *testing.T) {
 	var l List
-	first, err := l.Admit(t.Context(), Fingerprint{})
+	first, err := l.Admit(t.Context(), Subject{})
 	if err != nil {
 		t.Fatal("admit:", err)
 	}
@@ -249,12 +296,12 @@
 		t.Error("a crash under an equal request left the admission valid")
 	}
 	first.Release()
-	second, err := l.Admit(t.Context(), Fingerprint{})
+	second, err := l.Admit(t.Context(), Subject{})
 	if err != nil || !second.Suspect || second.Outdated.Err() != nil {
 		t.Errorf("got error %v, suspect %t, outdated %v, want a valid admission of a suspect", err, second.Suspect, second.Outdated)
 	}
 	second.Release()
-	if diff := cmp.Diff(0, len(l.watches)); diff != "" {
-		t.Errorf("watches left (-want +got):\n%s", diff)
+	if diff := cmp.Diff(0, len(l.admitted)); diff != "" {
+		t.Errorf("admissions left (-want +got):\n%s", diff)
 	}
 }
