--- a/dispatch/breaker.go
+++ b/dispatch/breaker.go
@@ -22,6 +22,8 @@
 	// probeSentAt is the time of the last probe if its outcome is still open, and
 	// zero otherwise.
 	probeSentAt time.Time
+	// closedAt is the time at which the group last began to work again.
+	closedAt time.Time
 }
 
 // check reports whether the next request is a probe, and how long nothing may be sent
@@ -36,6 +38,17 @@
 	return true, max(wait, c.probeAt.Sub(now), 0)
 }
 
+// closedFor reports whether the breaker is closed and has been for a time.
+func (c *circuitBreaker) closedFor(d time.Duration, now time.Time) bool {
+	return !c.open && now.Sub(c.closedAt) >= d
+}
+
+// unprobed reports whether the breaker is open and the next probe has been due for a
+// time.
+func (c *circuitBreaker) unprobed(d time.Duration, now time.Time) bool {
+	return c.open && c.probeSentAt.IsZero() && now.Sub(c.probeAt) >= d
+}
+
 // trip opens the breaker, or keeps it open, and sets the time of the next probe.
 func (c *circuitBreaker) trip(probeAt time.Time) {
 	c.open = true
@@ -51,6 +64,9 @@
 	}
 	c.probeSentAt = time.Time{}
 	if outcome == Answered {
+		if c.open {
+			c.closedAt = now
+		}
 		c.open = false
 		return
 	}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -23,10 +23,12 @@
 // A late request, which is past its soft deadline, leaves some slots free for
 // requests that can still be on time. The caller holds mu.
 func (s *Scheduler) pick(request *Request, late bool, now time.Time) (*Reservation, time.Duration) {
+	if len(request.Placement) > 0 {
+		return s.place(request, now), 0
+	}
 	q := s.queue(request.Service)
 	breakerWait := time.Duration(0)
 	var best *route.Upstream
-	var bestState *upstreamState
 	bestAvoided := true
 	bestCost := 0.0
 	ready := s.Fleet().Ready(request.Service)
@@ -59,26 +61,32 @@
 		}
 		cost := state.cost(now, request.Grouped)
 		if best == nil || bestAvoided && !avoided || bestAvoided == avoided && cost < bestCost {
-			best, bestState, bestAvoided, bestCost = u, state, avoided, cost
+			best, bestAvoided, bestCost = u, avoided, cost
 		}
 	}
 	if best == nil {
 		return nil, breakerWait
 	}
-	bestState.addRunning(1, now)
+	return s.reserveAt(request, best, now), 0
+}
+
+// reserveAt returns a reservation at an upstream. The caller holds mu.
+func (s *Scheduler) reserveAt(request *Request, u *route.Upstream, now time.Time) *Reservation {
+	state := s.upstream(u.Name)
+	state.addRunning(1, now)
 	if request.Suspect {
-		bestState.suspects++
+		state.suspects++
 	}
 	reservation := &Reservation{
-		Upstream:  *best,
+		Upstream:  *u,
 		scheduler: s,
 		service:   request.Service,
-		breaker:   q.breaker(bestState.group),
+		breaker:   s.queue(request.Service).breaker(state.group),
 		suspect:   request.Suspect,
 	}
 	reservation.probe, _ = reservation.breaker.check(now)
 	if reservation.probe {
 		reservation.breaker.probeSentAt = now
 	}
-	return reservation, 0
+	return reservation
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -70,6 +70,12 @@
 	// Suspect is set for a request under which an upstream crashed. Suspects are not
 	// sent to one upstream at the same time, so that a crash tells them apart.
 	Suspect bool
+	// Placement selects the upstream for a request with a suspect part in its prompt: it
+	// holds numbers of all suspects up to that one, in their order. Entries that have the
+	// same list of upstreams and of suspects send the same suspect to the same upstream
+	// and others elsewhere. Such a request is sent to a group only once that has worked
+	// for placementDelay. If Placement is empty, any upstream may get the request.
+	Placement []uint64
 	// Only, unless it is empty, holds the only upstreams that the request may be
 	// sent to.
 	Only map[foxtailstack.UpstreamName]bool
--- a/dispatch/upstreamstate.go
+++ b/dispatch/upstreamstate.go
@@ -142,7 +142,12 @@
 	if late && s.slots > 0 && s.load(now) > max(0, float64(s.slots)*(1-lateReserve)-1) {
 		return false
 	}
-	return !s.full(now) && !now.Before(s.silentUntil) && !now.Before(s.slowUntil)
+	return !s.full(now) && s.reachable(now)
+}
+
+// reachable reports whether a rank is neither silent nor slow.
+func (s *upstreamState) reachable(now time.Time) bool {
+	return !now.Before(s.silentUntil) && !now.Before(s.slowUntil)
 }
 
 // avoided reports whether the upstream is used only if there is no other.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -196,12 +196,13 @@
 // only to those that did not run it.
 func (c *call) acquire(ctx context.Context, admission quarantine.Admission) (*dispatch.Reservation, error) {
 	request := dispatch.Request{
-		Service:  c.service,
-		Grouped:  c.cfg.Services[c.service].Group != nil,
-		Urgency:  c.urgency,
-		Excluded: c.mayHaveRun,
-		Suspect:  admission.Suspect,
-		Deadline: c.deadline,
+		Service:   c.service,
+		Grouped:   c.cfg.Services[c.service].Group != nil,
+		Urgency:   c.urgency,
+		Excluded:  c.mayHaveRun,
+		Suspect:   admission.Suspect,
+		Placement: admission.Placement,
+		Deadline:  c.deadline,
 	}
 	if group := c.cfg.Services[c.service].Group; group != nil {
 		c.estimateTimes(&request, group)
