--- a/explain/outcome.go
+++ b/explain/outcome.go
@@ -28,7 +28,7 @@
 	"unknown-key":        "Denied: no team has the key in the configuration of that version.",
 	"no-route":           "Denied: the configuration of that version has no route for it.",
 	"body":               "Denied: the body is too long or was cut.",
-	"quarantined":        "Not run: upstreams crashed while they ran equal requests. It is refused until the records of that expire.",
+	"quarantined":        "Not run: upstreams crashed while they ran equal requests, or requests with the same part. It is refused until the records of that expire.",
 	"equal-request-runs": "Not run: an upstream crashed while it ran an equal request, so that these run one at a time, and another did not finish in time.",
 	"timeout":            "Its time ended; with sends=0 it did not run, otherwise it may have run.",
 	"upstreams-failed":   "It may have run: an upstream broke off, and it may not be sent again.",
--- a/explain/report.go
+++ b/explain/report.go
@@ -26,7 +26,8 @@
 	StateLines []Line
 	// CrashLines are the lines on crashes of upstreams under equal requests that the entry
 	// of the request wrote until the last line of the request, and the lines on failed
-	// attempts of other equal requests, of all entries.
+	// attempts of other equal requests, of all entries. If the request was refused because
+	// of a part of its prompt, those with the part count as equal.
 	CrashLines []Line
 	// GroupLines are lines of other processes about groups, such as planners and
 	// sidecars, from lookback before the first line of the request to its last one.
@@ -91,12 +92,16 @@
 	}
 	first, last := report.RequestLines[0], report.RequestLines[len(report.RequestLines)-1]
 	subject := subject{
-		service:     last.Get("service"),
-		fingerprint: last.Get("fingerprint"),
-		upstreams:   make(map[string]bool),
+		service:      last.Get("service"),
+		fingerprints: make(map[string]bool),
+		upstreams:    make(map[string]bool),
 	}
 	for _, line := range report.RequestLines {
 		subject.upstreams[line.Get("upstream")] = true
+		subject.fingerprints[line.Get("fingerprint")] = true
+		if line.Get("part") != "" {
+			subject.part = line.Get("part")
+		}
 	}
 	latestByKey := make(map[string]Line)
 	for _, line := range lines {
@@ -129,24 +134,33 @@
 	return report
 }
 
-// subject holds the service and the fingerprint of a request, and the upstreams that it
-// was sent to.
+// subject holds what identifies the lines that concern a request.
 type subject struct {
-	service     string
-	fingerprint string
-	upstreams   map[string]bool
+	service string
+	// fingerprints holds those of the request and of the part that it was refused for.
+	fingerprints map[string]bool
+	// part is the part of its prompt that the request was refused for; empty if none.
+	part string
+	// upstreams holds the upstreams that the request was sent to.
+	upstreams map[string]bool
 }
 
 // crashLine reports whether a line is about a crash under requests equal to the one with
 // the given id, or about a failed attempt of another of them.
 func (s *subject) crashLine(line Line, id string) bool {
-	if s.fingerprint == "" || line.Get("fingerprint") != s.fingerprint {
-		return false
-	}
 	if line.Message == "attempt failed" {
-		return line.Get("request") != id
+		return line.Get("request") != id && s.equal(line)
+	}
+	return slices.Contains(crashMessages, line.Message) && s.fingerprints[line.Get("fingerprint")] && line.Get("fingerprint") != ""
+}
+
+// equal reports whether the request that a line names is equal to that of the subject, or
+// has the part that that was refused for.
+func (s *subject) equal(line Line) bool {
+	if s.part != "" && slices.Contains(strings.Split(line.Get("parts"), ","), s.part) {
+		return true
 	}
-	return slices.Contains(crashMessages, line.Message)
+	return line.Get("fingerprint") != "" && s.fingerprints[line.Get("fingerprint")]
 }
 
 // stateKey returns the key of the state that a line reports, and whether that state
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -33,6 +33,7 @@
 	}
 	c.answer = quarantine.Waiting
 	c.trial = admission.Trial
+	c.logTrial()
 	c.setLeaveCheck(conn)
 	in, err := conn.Send(c.outgoing(u), c.gateway.Codec)
 	if err != nil {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 
 	"github.com/foxtailstack/foxtailstack/exchange"
 	"github.com/foxtailstack/foxtailstack/quarantine"
 	"github.com/foxtailstack/foxtailstack/route"
+	"go.uber.org/zap"
 )
 
 // checkCrash passes an attempt that failed with err to the detector of crashes if the
@@ -40,6 +42,31 @@
 	c.gateway.Quarantine.Begun(c.subject)
 }
 
+// logTrial logs that the attempt tests parts of the prompt.
+func (c *call) logTrial() {
+	if len(c.trial) == 0 {
+		return
+	}
+	trialsTotal.Inc()
+	var parts []exchange.PromptPart
+	for _, key := range c.trial {
+		parts = append(parts, c.partOf(key))
+	}
+	c.gateway.Log.Info("suspect parts tested",
+		zap.String("request", string(c.requestInfo.ID)),
+		zap.String("upstream", string(c.upstream)),
+		zap.String("parts", joinParts(parts)))
+}
+
+// partOf returns the part of the prompt with a fingerprint, or none.
+func (c *call) partOf(key quarantine.Fingerprint) exchange.PromptPart {
+	at := slices.Index(c.subject.Parts, key)
+	if at < 0 {
+		return ""
+	}
+	return c.requestInfo.SharedParts[at]
+}
+
 // newSubject returns what the request may crash an upstream by. The fingerprint of the
 // request stays the same when the caller sends it again to any entry; of its header only
 // the host and the team count.
--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -49,6 +49,11 @@
 
 // respondRefused responds to a request that the quarantine refused.
 func (c *call) respondRefused(refused *quarantine.RefusedError) {
+	c.gateway.Log.Info("request refused after crashes",
+		zap.String("request", string(c.requestInfo.ID)),
+		zap.Stringer("fingerprint", refused.Cause),
+		zap.String("part", string(c.partOf(refused.Cause))),
+		zap.Duration("retry", refused.RetryAfter))
 	reason := reasonQuarantined
 	if errors.Is(refused, quarantine.ErrTurn) {
 		reason = reasonEqualRuns
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,6 +18,7 @@
 	eventsTotal            = metrics.NewCounter("foxtailstack_gateway_events_total")
 	retriesGrantedTotal    = metrics.NewCounter("foxtailstack_gateway_retries_granted_total")
 	retriesDeniedTotal     = metrics.NewCounter("foxtailstack_gateway_retries_denied_total")
+	trialsTotal            = metrics.NewCounter("foxtailstack_gateway_trials_total")
 	stalledLeavesTotal     = metrics.NewCounter(`foxtailstack_gateway_leaves_total{reason="still"}`)
 	slowLeavesTotal        = metrics.NewCounter(`foxtailstack_gateway_leaves_total{reason="slow"}`)
 	timeToFirstByteSeconds = metrics.NewHistogram("foxtailstack_gateway_first_seconds")
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -63,6 +63,7 @@
 		if n == 0 {
 			continue
 		}
+		countCrash(c.Kind)
 		t.logCrash("crash recorded", c, n, t.Instance)
 		t.setPending(rowName(c), true)
 	}
@@ -87,6 +88,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	clearedTotal.Add(len(cleared))
 	for _, c := range cleared {
 		t.Log.Info("suspect cleared", zap.Stringer("fingerprint", c.Fingerprint), zap.Stringer("kind", c.Kind))
 		t.removeRows(c)
