--- a/machine/deadlypart_test.go
+++ b/machine/deadlypart_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/foxtailstack/foxtailstack/platform/standin"
+	"github.com/google/go-cmp/cmp"
 )
 
 const (
@@ -193,6 +194,8 @@
 	tests := map[string]struct {
 		deadly  []string
 		prompts []string
+		// storeAway takes the store away before the first crash, for good.
+		storeAway bool
 	}{
 		"none (control)": {
 			prompts: []string{"a:9,bad:9"},
@@ -213,6 +216,11 @@
 			deadly:  []string{"bad", "worse"},
 			prompts: []string{"a:9,bad:9", "a:9,worse:9"},
 		},
+		"store away": {
+			deadly:    []string{"bad"},
+			prompts:   []string{"a:9,bad:9"},
+			storeAway: true,
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -221,6 +229,7 @@
 				t.Run(fmt.Sprintf("sends nothing %t", sendsNothing), func(t *testing.T) {
 					t.Parallel()
 					s := newPartSystem(t, sendsNothing, test.deadly...)
+					s.store.Rows.Set(standin.Faults{Outage: test.storeAway})
 					s.run([]string{"a", "b", "c"}, test.prompts)
 					s.check(t)
 				})
@@ -228,3 +237,28 @@
 		})
 	}
 }
+
+// Guards against what is known about a part that ends with the entry that found it.
+func TestDeadlyPartOutlivesEntries(t *testing.T) {
+	t.Parallel()
+	s := newPartSystem(t, false, "bad")
+	log := s.deadly["bad"]
+	for n := 0; len(log.Crashes()) == 0; n++ {
+		s.stream(n%len(s.entries), fmt.Sprintf("deadly-%d", n), fmt.Sprintf("a:9,bad:9,%d:9", n))
+	}
+	for i, stop := range s.stops {
+		stop()
+		s.startEntry(t, i)
+	}
+	for n := range 10 * len(s.entries) {
+		ctx, cancel := context.WithTimeout(t.Context(), partTimeout)
+		status, _ := s.streamOnce(ctx, n%len(s.entries), fmt.Sprintf("again-%d", n), fmt.Sprintf("a:9,bad:9,again-%d:9", n))
+		cancel()
+		if diff := cmp.Diff(http.StatusServiceUnavailable, status); diff != "" {
+			t.Errorf("status at an entry that started after the crash (-want +got):\n%s", diff)
+		}
+	}
+	if n := len(log.Crashes()); n > 1 {
+		t.Errorf("%d crashes, want none after the entries have started anew", n-1)
+	}
+}
