--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
@@ -19,11 +17,10 @@
 // full rank is used all the same: such requests are few, and at another rank they would be
 // beside other suspects. The caller holds mu.
 func (s *Scheduler) place(request *Request, now time.Time) *Reservation {
-	ready := slices.Clone(s.Fleet().Ready(request.Service))
+	ready := s.Fleet().Ready(request.Service) // in the order of their names
 	if len(ready) == 0 {
 		return nil
 	}
-	slices.SortFunc(ready, func(a, b route.Upstream) int { return cmp.Compare(a.Name, b.Name) })
 	slot := placementSlot(request.Placement, len(ready))
 	var best *route.Upstream
 	for i := range ready {
--- a/exchange/codec.go
+++ b/exchange/codec.go
@@ -69,6 +69,8 @@
 	NotRun bool
 	// Misdirected is set if another upstream has the address now.
 	Misdirected bool
+	// Leaving is set if the upstream says that it is about to end.
+	Leaving bool
 	// ContentEncoded is set if the body was encoded after the upstream produced
 	// it.
 	ContentEncoded bool
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -41,6 +41,9 @@
 		return c.failed(ctx, reservation, err)
 	}
 	c.gateway.Scheduler.ObserveLoad(u.Name, in.Load)
+	if in.Leaving {
+		c.gateway.View.MarkLeaving(u)
+	}
 	if in.NotRun {
 		return c.notRun(reservation, conn, in)
 	}
--- a/watch/view.go
+++ b/watch/view.go
@@ -38,6 +38,11 @@
 
 	mu        sync.Mutex
 	upstreams map[foxtailstack.UpstreamName]route.Upstream
+	// leaving holds the starts of the upstreams that were draining or said that they
+	// leave. A start that has left once does not come back, whatever an older row says.
+	leaving map[foxtailstack.UpstreamName]departure
+	// version is that of the newest rows of the upstream table.
+	version foxtailstack.StoreVersion
 	// unreadable holds the names of the rows already logged as unreadable, of both
 	// tables. It is never cleared: a row that becomes readable and then unreadable again
 	// is not logged again. Known limitation: the names of both tables share this map, so
@@ -112,17 +117,24 @@
 	for _, record := range records {
 		v.applyRow(record)
 	}
-	upstreams := make([]route.Upstream, 0, len(v.upstreams))
-	for _, u := range v.upstreams {
-		upstreams = append(upstreams, u)
-	}
-	v.fleet.Store(route.NewFleet(uint64(version), upstreams))
+	v.version = version
+	v.storeFleet()
 	v.mu.Unlock()
 	if v.OnFleetChange != nil {
 		v.OnFleetChange()
 	}
 }
 
+// storeFleet stores the fleet of the present upstreams. The caller holds mu.
+func (v *View) storeFleet() {
+	upstreams := make([]route.Upstream, 0, len(v.upstreams))
+	for _, u := range v.upstreams {
+		u.Draining = u.Draining || v.hasLeft(u)
+		upstreams = append(upstreams, u)
+	}
+	v.fleet.Store(route.NewFleet(uint64(v.version), upstreams))
+}
+
 // applyRow applies one row of the upstream table. A row that cannot be decoded
 // removes its upstream: other writers may put rows into the table, so the row that the
 // name now has need not describe an upstream. The caller holds mu.
@@ -143,6 +155,9 @@
 		return
 	}
 	v.upstreams[name] = u
+	if u.Draining {
+		v.recordLeaving(u)
+	}
 	if !existed || u != old {
 		v.logUpstream("upstream changed", u, record)
 	}
