--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -23,8 +23,14 @@
 		worker http.HandlerFunc
 	}{
 		"answer":  {path: "/lookup/x", worker: good},
-		"refusal": {path: "/lookup/x", worker: refusing},
-		"failure": {path: "/lookup/x", worker: failing},
+		"refusal": {
+			path: "/lookup/x",
+			worker: refusing,
+		},
+		"failure": {
+			path: "/lookup/x",
+			worker: failing,
+		},
 		"stream": {
 			path:   "/stream/x",
 			worker: func(w http.ResponseWriter, r *http.Request) { writeEvents(w, r, 1, 3) },
--- a/watch/leaving_test.go
+++ b/watch/leaving_test.go
@@ -40,26 +40,44 @@
 func TestLeavingUpstreamStaysAway(t *testing.T) {
 	tests := map[string][]leavingStep{
 		"says that it leaves": {
-			{row: "ready 1", ready: true},
+			{
+				row: "ready 1",
+				ready: true,
+			},
 			{says: 1},
 			{row: "ready 1"},
 			{row: ""},
 			{row: "ready 1"},
 		},
 		"its row says so, then an older row comes": {
-			{row: "ready 1", ready: true},
+			{
+				row: "ready 1",
+				ready: true,
+			},
 			{row: "draining 1"},
 			{row: "ready 1"},
 		},
 		"starts anew": {
-			{row: "ready 1", ready: true},
+			{
+				row: "ready 1",
+				ready: true,
+			},
 			{says: 1},
-			{row: "ready 2", ready: true},
-			{says: 1, ready: true},
+			{
+				row: "ready 2",
+				ready: true,
+			},
+			{
+				says: 1,
+				ready: true,
+			},
 			{says: 2},
 		},
 		"announces no start": {
-			{row: "ready 0", ready: true},
+			{
+				row: "ready 0",
+				ready: true,
+			},
 			{says: 0},
 		},
 	}
