--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		state := s.upstream(u.Name)
-		if request.Suspect && state.suspects > 0 {
+		if request.Suspect && state.suspects > 0 || now.Before(state.pausedUntil) {
 			continue
 		}
 		state.slots = u.Slots
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -16,11 +16,29 @@
 	// receive its first event before its caller abandons it, usually because the queue
 	// is too long.
 	ErrOverloaded = errors.New("too many requests wait")
+	// ErrPaused means that each upstream that may get the request wants none for some
+	// time.
+	ErrPaused = errors.New("all upstreams want no requests for a time")
 	// ErrQueueTimeout means that the request's context ended before an upstream had
 	// room.
 	ErrQueueTimeout = errors.New("no upstream was free in time")
 )
 
+// PausedError is an ErrPaused with the time until the first upstream wants requests again.
+type PausedError struct {
+	Wait time.Duration
+}
+
+// Error returns the text of the error.
+func (e *PausedError) Error() string {
+	return fmt.Sprintf("%v: first again in %s", ErrPaused, e.Wait)
+}
+
+// Unwrap returns ErrPaused.
+func (e *PausedError) Unwrap() error {
+	return ErrPaused
+}
+
 // OverloadError is an ErrOverloaded with the figures behind the refusal.
 type OverloadError struct {
 	// Queued is the number of requests in the queue. Wait is the expected queueing
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -90,6 +90,17 @@
 	s.serve(q)
 }
 
+// Pause records that the upstream wants no requests for a time. Zero changes nothing.
+func (r *Reservation) Pause(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	s := r.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pause(&r.Upstream, d, time.Now())
+}
+
 // ResponseStarted records that the upstream has begun to respond. If the request is a
 // probe, that closes the circuit breaker of the group: a broken group does not begin
 // to respond.
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -23,6 +23,8 @@
 	mu        sync.Mutex
 	upstreams map[foxtailstack.UpstreamName]*upstreamState
 	queues    map[foxtailstack.ServiceName]*queue
+	// pausedUntil is the latest of those of all upstreams.
+	pausedUntil time.Time
 }
 
 // Acquire returns a reservation and waits for one if necessary. It returns
@@ -61,8 +63,9 @@
 func (s *Scheduler) enqueue(w *waiter) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.hasCandidate(&w.request) {
-		return ErrNoUpstream
+	err := s.candidateError(&w.request, w.enqueuedAt)
+	if err != nil {
+		return err
 	}
 	q := s.queue(w.request.Service)
 	wait, known := q.expectedWait(w.enqueuedAt)
@@ -74,17 +77,6 @@
 	return nil
 }
 
-// hasCandidate reports whether any ready upstream is allowed for the request,
-// whether it has room or not. The caller holds mu.
-func (s *Scheduler) hasCandidate(request *Request) bool {
-	for _, u := range s.Fleet().Ready(request.Service) {
-		if request.allows(u.Name) {
-			return true
-		}
-	}
-	return false
-}
-
 // ObserveLoad records the load that an upstream reported, as its load at present. A
 // nil load is ignored.
 func (s *Scheduler) ObserveLoad(name foxtailstack.UpstreamName, load *exchange.Load) {
@@ -131,9 +123,10 @@
 			w.result <- acquireResult{err: q.overloadError(now)}
 			continue
 		}
-		if len(w.request.Excluded) > 0 && !s.hasCandidate(&w.request) {
+		err := s.waitError(w, now)
+		if err != nil {
 			q.remove(w)
-			w.result <- acquireResult{err: ErrNoUpstream}
+			w.result <- acquireResult{err: err}
 			continue
 		}
 		reservation, wait := s.pick(&w.request, w.late(now), now)
--- a/dispatch/upstreamstate.go
+++ b/dispatch/upstreamstate.go
@@ -72,6 +72,9 @@
 	// address, and because it refused a request.
 	ejectedUntil time.Time
 	refusedUntil time.Time
+	// pausedUntil is the time until which the upstream gets no requests because it asked
+	// for that.
+	pausedUntil time.Time
 	// dialFailures is the number of failed dials since a request was last
 	// answered.
 	dialFailures int
--- a/exchange/codec.go
+++ b/exchange/codec.go
@@ -69,6 +69,9 @@
 	NotRun bool
 	// Misdirected is set if another upstream has the address now.
 	Misdirected bool
+	// RetryAfter is the time for which the upstream, which refused the request with a
+	// status for that, wants no other; zero if it does not say.
+	RetryAfter time.Duration
 	// Leaving is set if the upstream says that it is about to end.
 	Leaving bool
 	// ContentEncoded is set if the body was encoded after the upstream produced
--- a/explain/outcome.go
+++ b/explain/outcome.go
@@ -21,6 +21,7 @@
 	"served":             "The caller has the whole answer.",
 	"upstream-answered":  "The upstream itself answered with a failure; it was passed on unchanged.",
 	"upstreams-refused":  "Not run: the upstreams that were asked refused. The caller was told when to come back.",
+	"upstreams-paused":   "Not run: all upstreams had asked for no requests for a time. The caller was told when the first wants some again.",
 	"too-many-waiting":   "Not run: it was not expected to be served in its time. The caller was told when to come back.",
 	"no-upstream":        "Not run: the service had no ready upstream.",
 	"keys-not-current":   "Not run: the store had not been heard for so long that its key might have been taken away.",
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -41,6 +41,7 @@
 		return c.failed(ctx, reservation, err)
 	}
 	c.gateway.Scheduler.ObserveLoad(u.Name, in.Load)
+	reservation.Pause(in.RetryAfter)
 	if in.Leaving {
 		c.gateway.View.MarkLeaving(u)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -175,6 +175,7 @@
 	reasonBody               endReason = "body"
 	reasonNoUpstream         endReason = "no-upstream"
 	reasonOverloaded         endReason = "too-many-waiting"
+	reasonPaused             endReason = "upstreams-paused"
 	reasonNotRun             endReason = "upstreams-refused"
 	reasonTimeout            endReason = "timeout"
 	reasonAllFailed          endReason = "upstreams-failed"
--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -19,6 +19,7 @@
 func (c *call) giveUp(ctx context.Context, err error) {
 	c.logOverload(err)
 	var refused *quarantine.RefusedError
+	var paused *dispatch.PausedError
 	switch {
 	case c.r.Context().Err() != nil:
 		gap, _ := c.stream.sinceLastEvent(time.Now())
@@ -38,6 +39,8 @@
 		c.respondRefused(refused)
 	case errors.Is(err, dispatch.ErrOverloaded):
 		c.respondUnavailable(reasonOverloaded, c.overloadRetryAfter())
+	case errors.As(err, &paused):
+		c.respondUnavailable(reasonPaused, paused.Wait)
 	case errors.Is(err, dispatch.ErrNoUpstream):
 		c.respondUnavailable(reasonNoUpstream, retryAfterOutage)
 	case ctx.Err() != nil:
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -4,13 +4,14 @@
 	"net/http"
 	"testing"
 
+	"github.com/foxtailstack/foxtailstack/platform/standin"
 	"github.com/google/go-cmp/cmp"
 )
 
 // leaving returns a worker that says in its answers that it leaves.
 func leaving(worker http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Server-Leaving", "1")
+		w.Header().Set(standin.HeaderLeaving, "1")
 		worker(w, r)
 	}
 }
@@ -22,13 +23,16 @@
 		path   string
 		worker http.HandlerFunc
 	}{
-		"answer":  {path: "/lookup/x", worker: good},
+		"answer": {
+			path:   "/lookup/x",
+			worker: good,
+		},
 		"refusal": {
-			path: "/lookup/x",
+			path:   "/lookup/x",
 			worker: refusing,
 		},
 		"failure": {
-			path: "/lookup/x",
+			path:   "/lookup/x",
 			worker: failing,
 		},
 		"stream": {
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -18,8 +18,8 @@
 		if err != nil {
 			return
 		}
-		_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: x\r\nContent-Type: %s\r\n\r\n%s",
-			standin.RequestOf(r), contentType, body)
+		_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s: x\r\nContent-Type: %s\r\n\r\n%s",
+			standin.RequestOf(r), standin.HeaderProof, contentType, body)
 		_ = buffer.Flush() // the entry may have left
 		tcp, ok := conn.(*net.TCPConn)
 		if ok && reset {
--- a/watch/leaving_test.go
+++ b/watch/leaving_test.go
@@ -41,7 +41,7 @@
 	tests := map[string][]leavingStep{
 		"says that it leaves": {
 			{
-				row: "ready 1",
+				row:   "ready 1",
 				ready: true,
 			},
 			{says: 1},
@@ -51,7 +51,7 @@
 		},
 		"its row says so, then an older row comes": {
 			{
-				row: "ready 1",
+				row:   "ready 1",
 				ready: true,
 			},
 			{row: "draining 1"},
@@ -59,23 +59,23 @@
 		},
 		"starts anew": {
 			{
-				row: "ready 1",
+				row:   "ready 1",
 				ready: true,
 			},
 			{says: 1},
 			{
-				row: "ready 2",
+				row:   "ready 2",
 				ready: true,
 			},
 			{
-				says: 1,
+				says:  1,
 				ready: true,
 			},
 			{says: 2},
 		},
 		"announces no start": {
 			{
-				row: "ready 0",
+				row:   "ready 0",
 				ready: true,
 			},
 			{says: 0},
