--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -134,7 +134,7 @@
 			conn.Close()
 			return c.failed(ctx, reservation, fmt.Errorf("%w: %w", errBrokenOff, err))
 		}
-		if event.hasData {
+		if event.hasContent {
 			c.recordBegun()
 		}
 		if !c.sendEvent(event, in.Header) {
@@ -173,12 +173,15 @@
 	if e.id > 0 && e.id <= c.stream.lastEventID {
 		return true
 	}
-	eventsTotal.Inc()
-	c.recordProgress(true)
 	_, err := c.w.Write(e.raw)
 	if err == nil {
 		err = http.NewResponseController(c.w).Flush()
 	}
+	if !e.hasContent {
+		return err == nil
+	}
+	eventsTotal.Inc()
+	c.recordProgress(true)
 	gap, ok := c.stream.recordEvent(e.id, time.Now())
 	if ok && c.cfg.Services[c.service].Group != nil {
 		c.gateway.Scheduler.ObserveEventGap(c.service, gap)
@@ -209,9 +212,9 @@
 type event struct {
 	id  int64
 	raw []byte
-	// hasData is set if the event has content, as opposed to a comment that only keeps
-	// the connection open.
-	hasData bool
+	// hasContent is set if the event has an ID or data, as opposed to a comment that only
+	// keeps the connection open.
+	hasContent bool
 }
 
 // readEvent reads up to and including the next blank line. It returns io.EOF at
@@ -239,7 +242,7 @@
 		if len(field) == 0 {
 			return e, nil
 		}
-		e.hasData = e.hasData || bytes.HasPrefix(field, []byte("data"))
+		e.hasContent = e.hasContent || bytes.HasPrefix(field, []byte("data")) || bytes.HasPrefix(field, []byte("id:"))
 		id, ok := bytes.CutPrefix(field, []byte("id:"))
 		if ok {
 			e.id, _ = strconv.ParseInt(string(bytes.TrimSpace(id)), 10, 64) // invalid IDs become zero, which means none
