--- /dev/null
+++ b/machine/stop_test.go
@@ -0,0 +1,88 @@
+package machine
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack/platform/standin"
+)
+
+const (
+	// stopCallers is the number of callers, each of which keeps one connection open.
+	stopCallers = 40
+	// stopPause is the time between two requests of a caller.
+	stopPause = 3 * time.Millisecond
+)
+
+// Guards against requests that are cut off without an answer because the entry is stopped
+// just as it has accepted them: callers go on over open and new connections until it is
+// gone.
+func TestPlannedStopAnswersWhatWasSent(t *testing.T) {
+	t.Parallel()
+	s := newCrashSystem(t, "drafts", standin.CrashMode{})
+	address := s.entries[0].callerListener.Addr().String()
+	var lost, answered atomic.Int64
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for i := range stopCallers {
+		wg.Go(func() {
+			for n := 0; ctx.Err() == nil; {
+				conn, err := net.Dial("tcp", address)
+				if err != nil {
+					return // the entry is gone
+				}
+				n = useConnection(conn, i, n, &answered, &lost)
+				_ = conn.Close()
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	s.stops[0]()
+	cancel()
+	wg.Wait()
+	t.Logf("%d requests answered", answered.Load())
+	if lost.Load() > 0 {
+		t.Errorf("%d requests reached an upstream and were cut off without an answer", lost.Load())
+	}
+}
+
+// useConnection sends requests over a connection until it is closed, and returns the number
+// of the next one. A request that is cut off counts as lost if a part of its answer had
+// arrived, or if it was sent long before the connection ended.
+func useConnection(conn net.Conn, caller, n int, answered, lost *atomic.Int64) int {
+	r := bufio.NewReader(conn)
+	for ; ; n++ {
+		id := fmt.Sprintf("stop-%d-%d", caller, n)
+		_, err := fmt.Fprintf(conn, "POST /lookup/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n%s: %s\r\nContent-Length: 1\r\n\r\nx",
+			standin.ConfigHost, id, standin.HeaderKey, standin.ConfigKey)
+		if err != nil {
+			return n + 1
+		}
+		sent := time.Now()
+		response, err := http.ReadResponse(r, nil)
+		if err != nil {
+			if time.Since(sent) > crashWork/2 {
+				lost.Add(1)
+			}
+			return n + 1
+		}
+		_, err = io.Copy(io.Discard, response.Body)
+		if err != nil {
+			lost.Add(1)
+			return n + 1
+		}
+		answered.Add(1)
+		if response.Close {
+			return n + 1
+		}
+		time.Sleep(stopPause)
+	}
+}
