--- a/feed.go
+++ b/feed.go
@@ -9,9 +9,31 @@
 // ErrHistoryGone means that the store no longer has the changes after a version.
 var ErrHistoryGone = errors.New("changes after the version are no longer kept")
 
-// StoreVersion numbers the transactions of the platform's store.
+// StoreVersion numbers the transactions of the platform's store. Its upper bits are the era
+// of the store, which rises by one each time the store is restored from an older copy: the
+// numbers of the transactions that were lost are then given out again. Versions of a later
+// era are greater than all of an earlier one.
 type StoreVersion uint64
 
+// eraShift is the number of the lower bits of a StoreVersion, which hold the number of the
+// transaction.
+const eraShift = 40
+
+// NewStoreVersion returns the version of a transaction in an era.
+func NewStoreVersion(era, transaction uint64) StoreVersion {
+	return StoreVersion(era<<eraShift | transaction)
+}
+
+// Era returns the era of the store.
+func (v StoreVersion) Era() uint64 {
+	return uint64(v >> eraShift)
+}
+
+// Transaction returns the number of the transaction within the era.
+func (v StoreVersion) Transaction() uint64 {
+	return uint64(v) & (1<<eraShift - 1)
+}
+
 // Record is a row of a table that a Feed reads.
 type Record struct {
 	Name string
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -392,6 +392,14 @@
 	l.wake()
 }
 
+// Has reports whether a crash is recorded.
+func (l *List) Has(c Crash) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.evidence.record(c.Fingerprint)
+	return r != nil && r.find(c.ID) >= 0
+}
+
 // All returns the crashes of all records that have not expired, in no particular order.
 func (l *List) All() []Crash {
 	l.mu.Lock()
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -25,6 +25,9 @@
 	// sweepInterval is the mean time between two removals of expired rows. Each entry
 	// draws its own times, so that one of them mostly removes the rows for all.
 	sweepInterval = time.Minute
+	// rewriteSpread is the time over which the entries write rows again that the store has
+	// lost. Each draws its own moment, so that one of them mostly writes them for all.
+	rewriteSpread = time.Second
 	// maxPending is the number of rows that wait to be written or removed. Further ones
 	// are not shared.
 	maxPending = 1 << 12
@@ -48,6 +51,8 @@
 	mu sync.Mutex
 	// rows holds the names of the rows that the store is known to have.
 	rows map[string]struct{}
+	// era is that of the store when the table was read last.
+	era uint64
 	// pending holds the rows to write, with true, and to remove, with false.
 	pending map[string]bool
 	// wake gets a value when rows become pending. It is nil before Run is called.
@@ -129,21 +134,52 @@
 }
 
 // Replace receives all rows of the table. Crashes whose rows are gone are removed from
-// the List.
+// the List, unless the store has been restored from an older copy: then their rows are
+// written again.
 func (t *Table) Replace(records []foxtailstack.Record, version foxtailstack.StoreVersion) {
 	t.mu.Lock()
 	gone := t.rows
+	restored := t.era < version.Era()
+	t.era = version.Era()
 	t.rows = nil
 	t.mu.Unlock()
 	t.Update(records, version)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var lost []string
 	for row := range gone {
 		_, kept := t.rows[row]
-		if !kept && !t.pending[row] {
+		switch {
+		case kept || t.pending[row]:
+		case restored:
+			lost = append(lost, row)
+		default:
 			t.forget(row)
 		}
 	}
+	if len(lost) > 0 {
+		time.AfterFunc(rand.N(rewriteSpread), func() { t.rewrite(lost) })
+	}
+}
+
+// rewrite lets Run write rows that the store has lost, unless another entry has done so
+// or the crash no longer counts.
+func (t *Table) rewrite(lost []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rewritten := 0
+	for _, row := range lost {
+		c, err := parseRowName(row)
+		_, present := t.rows[row]
+		if err != nil || present || !t.List.Has(c) {
+			continue
+		}
+		rewritten++
+		t.setPending(row, true)
+	}
+	if rewritten > 0 {
+		t.Log.Info("lost crashes written again", zap.Int("rows", rewritten))
+	}
 }
 
 // Update receives the rows of the table that changed. It removes those of requests that
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -167,8 +167,12 @@
 			Late:   2,
 			LateBy: last,
 		})
-	case n < 93:
+	case n < 92:
 		s.store.Rows.Forget()
+	case n < 94:
+		older := s.store.Rows.Copy()
+		time.Sleep(last)
+		s.store.Rows.RestoreExternal(older, "op", "servers")
 	case n < 97:
 		s.group.Crash(n % *ranks)
 		time.Sleep(last)
--- a/watch/follower.go
+++ b/watch/follower.go
@@ -89,6 +89,9 @@
 	if err != nil {
 		return err
 	}
+	if f.version != 0 && version.Era() > f.version.Era() {
+		f.Log.Warn("store restored from an older copy", zap.String("table", f.Table), zap.Uint64("era", version.Era()))
+	}
 	f.version = version
 	f.Replace(records, version)
 	return nil
