--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -13,9 +13,9 @@
 )
 
 // checkCrash passes an attempt that failed with err to the detector of crashes if the
-// upstream may have crashed under it. Silence counts only before the response: an
-// upstream that has sent a part of it did not crash when it began to run the request. A
-// lost connection counts for the parts of the prompt only before the first content.
+// upstream may have crashed under it. Silence counts only before the first content: an
+// upstream that has sent some did not crash when it began to run the request. A lost
+// connection counts for the parts of the prompt only before that too.
 func (c *call) checkCrash(ctx context.Context, u route.Upstream, err error) {
 	attempt := quarantine.Attempt{
 		Subject:  c.subject,
@@ -25,7 +25,7 @@
 	switch {
 	case errors.Is(err, errSlowRank):
 	case ctx.Err() != nil, errors.Is(err, errStalled):
-		if attempt.Progress == quarantine.Waiting {
+		if attempt.Progress != quarantine.Begun {
 			c.gateway.Crashes.Unanswered(attempt, u)
 		}
 	case errors.Is(err, exchange.ErrBroken), errors.Is(err, errBrokenOff):
