--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -292,7 +292,7 @@
 		return false
 	}
 	if r.crashes[0].Kind == KindRequest {
-		return l.evidence.unexplained(r) >= crashesToQuarantine
+		return l.evidence.unexplained(r, nil) >= crashesToQuarantine
 	}
 	return l.evidence.refusal(r, []Fingerprint{key}) > 0
 }
@@ -384,6 +384,21 @@
 	return l.begun.has(c.Fingerprint, begunTTL)
 }
 
+// Known reports whether an answer to a part has begun within crashTTL.
+func (l *List) Known(part Fingerprint) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.begun.has(part, crashTTL)
+}
+
+// SetKind replaces the kind of a crash that is recorded under a part, if it is there.
+func (l *List) SetKind(part Fingerprint, id CrashID, kind Kind) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.evidence.setKind(part, id, kind)
+	l.wake()
+}
+
 // Remove removes one crash from the record of a request or part, if it is there.
 func (l *List) Remove(key Fingerprint, id CrashID) {
 	l.mu.Lock()
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -230,6 +230,41 @@
 	})
 }
 
+// Guards against a request that crashes upstreams as a whole and goes on to do so, since a
+// part that nobody else sends is taken for the cause, and against that part being refused
+// for longer than the hold.
+func TestRepeatedRequestIsTheCause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var l List
+		s := subjectOf("rare")
+		a := Attempt{
+			Subject:  s,
+			Progress: Started,
+		}
+		addAll(&l, a.crashes(firstStart))
+		time.Sleep(holdTime)
+		admission, err := l.Admit(t.Context(), s)
+		if err != nil {
+			t.Fatal("admit the request after the hold:", err)
+		}
+		a.Trial = admission.Trial
+		addAll(&l, a.crashes(started("w2", 2)))
+		admission.Release()
+		time.Sleep(holdTime)
+		_, err = l.Admit(t.Context(), s)
+		if !errors.Is(err, ErrQuarantined) {
+			t.Errorf("got error %v for a request that crashed two upstreams, want %v", err, ErrQuarantined)
+		}
+		if diff := cmp.Diff(suspect, standingOf(t, &l, "rare")); diff != "" {
+			t.Errorf("another request with its part (-want +got):\n%s", diff)
+		}
+		l.Begun(Subject{Parts: s.Parts})
+		if diff := cmp.Diff(free, standingOf(t, &l, "rare")); diff != "" {
+			t.Errorf("another one after an answer to the part (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // Guards against a request with several suspect parts that runs before those with one of
 // them, of which each crash or answer tells more.
 func TestSeveralSuspectsWait(t *testing.T) {
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -181,6 +181,25 @@
 	}
 }
 
+// setKind replaces the kind of a crash that is recorded under a part.
+func (e *evidence) setKind(key Fingerprint, id CrashID, kind Kind) {
+	r := e.record(key)
+	if r == nil {
+		return
+	}
+	at := r.find(id)
+	if at < 0 {
+		return
+	}
+	r.crashes[at].Kind = kind
+	ev := e.events[id]
+	ev.candidates[key] = kind
+	delete(e.telling, id)
+	if len(ev.causes()) > 0 {
+		e.telling[id] = ev
+	}
+}
+
 // remove removes one crash from the record of a request or part, if it is there.
 func (e *evidence) remove(key Fingerprint, id CrashID) {
 	r := e.record(key)
@@ -242,22 +261,29 @@
 }
 
 // explained reports whether parts that are known as the causes of a crash are candidates
-// of an event. Its other candidates are then no suspects for it.
-func (e *evidence) explained(id CrashID) bool {
+// of an event, other than those of own. Its other candidates are then no suspects for it.
+func (e *evidence) explained(id CrashID, own []Fingerprint) bool {
 	ev := e.events[id]
 	for _, other := range e.telling {
-		if ev.includes(other.causes()) {
+		causes := other.causes()
+		if ev.includes(causes) && !subset(causes, own) {
 			return true
 		}
 	}
 	return false
 }
 
-// unexplained returns the number of crashes in a record that are not explained.
-func (e *evidence) unexplained(r *record) int {
+// subset reports whether all keys are among others.
+func subset(keys, others []Fingerprint) bool {
+	return !slices.ContainsFunc(keys, func(key Fingerprint) bool { return !slices.Contains(others, key) })
+}
+
+// unexplained returns the number of crashes in a record that are not explained by parts
+// other than those of own.
+func (e *evidence) unexplained(r *record, own []Fingerprint) int {
 	n := 0
 	for _, c := range r.crashes {
-		if !e.explained(c.ID) {
+		if !e.explained(c.ID, own) {
 			n++
 		}
 	}
@@ -277,7 +303,7 @@
 }
 
 // assess returns what the evidence says about a request. Equal requests are refused after
-// crashesToQuarantine crashes. Parts are refused only together with all other parts that
+// crashesToQuarantine crashes, also if a part of theirs may be the cause. Parts are refused only together with all other parts that
 // may be the causes of the same crash: one that occurs beside the cause may be sound.
 func (e *evidence) assess(s Subject) finding {
 	var f finding
@@ -286,7 +312,7 @@
 	}
 	r := e.record(s.Request)
 	if r != nil {
-		switch n := e.unexplained(r); {
+		switch n := e.unexplained(r, s.Parts); {
 		case n >= crashesToQuarantine:
 			return finding{
 				refused: true,
@@ -328,7 +354,7 @@
 	for _, c := range r.crashes {
 		ev := e.events[c.ID]
 		causes := ev.causes()
-		if len(causes) == 0 || slices.ContainsFunc(causes, func(key Fingerprint) bool { return !slices.Contains(parts, key) }) {
+		if len(causes) == 0 || !subset(causes, parts) {
 			continue
 		}
 		until := holdTime - time.Since(ev.at)
@@ -343,7 +369,7 @@
 // suspected reports whether a part with a record is a suspect: it may be the cause of a
 // crash, alone or together with others, or it is a candidate of one that is not explained.
 func (e *evidence) suspected(part Fingerprint, r *record) bool {
-	return e.unexplained(r) > 0 || slices.ContainsFunc(r.crashes, func(c Crash) bool {
+	return e.unexplained(r, nil) > 0 || slices.ContainsFunc(r.crashes, func(c Crash) bool {
 		return slices.Contains(e.events[c.ID].causes(), part)
 	})
 }
--- a/quarantine/subject.go
+++ b/quarantine/subject.go
@@ -89,7 +89,8 @@
 	KindRequest Kind = 0
 	// KindPart is a part of the prompt of a request without content of an answer.
 	KindPart Kind = 1
-	// KindStarted is a KindPart of a request whose answer had started.
+	// KindStarted is a KindPart of a request whose answer had started, if no answer to the
+	// part is known to have begun before.
 	KindStarted Kind = KindPart | 2
 	// KindTrial is a KindPart of a request that tested the part.
 	KindTrial Kind = KindPart | 4
@@ -103,6 +104,14 @@
 	return k&flags == flags
 }
 
+// withoutStarted returns the kind without what tells KindStarted from KindPart.
+func (k Kind) withoutStarted() Kind {
+	if k == KindRequest {
+		return k
+	}
+	return k&^KindStarted | KindPart
+}
+
 // String returns the name of the kind, as it appears in the log and in names of rows.
 func (k Kind) String() string {
 	switch k {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -64,6 +64,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range crashes {
+		if t.List.Known(c.Fingerprint) {
+			c.Kind = c.Kind.withoutStarted()
+		}
 		n := t.List.Add(c)
 		if n == 0 {
 			continue
@@ -206,6 +209,11 @@
 			t.setPending(record.Name, false)
 			continue
 		}
+		if c.Kind.has(KindStarted) && t.List.Known(c.Fingerprint) {
+			t.setPending(record.Name, false)
+			c.Kind = c.Kind.withoutStarted()
+			t.setPending(rowName(c), true)
+		}
 		n := t.List.Add(c)
 		if n > 0 {
 			t.logCrash("crash learnt", c, n, foxtailstack.InstanceName(record.Value))
@@ -213,12 +221,37 @@
 	}
 }
 
-// forget removes the crash of a row from the List. The caller holds mu.
+// forget removes the crash of a row from the List, or what only that row says of its kind
+// if there are others of the same crash. The caller holds mu.
 func (t *Table) forget(row string) {
 	c, err := parseRowName(row)
-	if err == nil {
+	if err != nil {
+		return
+	}
+	kind := t.kindInRows(c)
+	if kind == KindRequest {
 		t.List.Remove(c.Fingerprint, c.ID)
+		return
+	}
+	t.List.SetKind(c.Fingerprint, c.ID, kind)
+}
+
+// kindInRows returns the kind of a crash under a part according to the rows that the store
+// has or will have, or KindRequest if there is none. The caller holds mu.
+func (t *Table) kindInRows(c Crash) Kind {
+	if c.Kind == KindRequest {
+		return KindRequest
+	}
+	found := KindRequest
+	for _, kind := range partKinds {
+		c.Kind = kind
+		row := rowName(c)
+		_, present := t.rows[row]
+		if present || t.pending[row] {
+			found |= kind
+		}
 	}
+	return found
 }
 
 // Run writes pending rows until ctx is done. After a failure it repeats the write with
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -248,6 +248,40 @@
 	})
 }
 
+// Guards against a popular part that is held back at all entries because the one that found
+// the crash had never answered it: the cause may be the request as a whole.
+func TestTableKnowsPartsOfOtherEntries(t *testing.T) {
+	runTables(t, func(t *testing.T, s *testStore, a, b *Table) {
+		b.Begun(subjectOf("popular"))
+		time.Sleep(begunTTL)
+		attempt := Attempt{
+			Subject:  subjectOf("popular bad"),
+			Progress: Started,
+		}
+		a.Report(attempt.crashes(firstStart))
+		time.Sleep(time.Second)
+		for name, table := range map[string]*Table{
+			"a":     a,
+			"b":     b,
+			"later": s.start(t.Context()),
+		} {
+			got := map[string]standing{
+				"popular":     standingOf(t, table.List, "popular"),
+				"bad":         standingOf(t, table.List, "bad"),
+				"popular bad": standingOf(t, table.List, "popular bad"),
+			}
+			want := map[string]standing{
+				"popular":     free, // the crash is explained by the other part
+				"bad":         refused,
+				"popular bad": refused,
+			}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("%s: requests by their parts (-want +got):\n%s", name, diff)
+			}
+		}
+	})
+}
+
 // Guards against rows that stay in the store for ever.
 func TestTableRemovesExpiredRows(t *testing.T) {
 	runTables(t, func(t *testing.T, s *testStore, a, b *Table) {
