--- a/dispatch/pause.go
+++ b/dispatch/pause.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/foxtailstack/foxtailstack/route"
 	"go.uber.org/zap"
 )
@@ -16,6 +17,9 @@
 	maxPauseSpread     = 500 * time.Millisecond
 )
 
+// pausesTotal counts the pauses that upstreams asked for.
+var pausesTotal = metrics.NewCounter("foxtailstack_dispatch_pauses_total")
+
 // pause records that an upstream wants no requests for a time. A shorter pause than the
 // present one changes nothing. The caller holds mu.
 func (s *Scheduler) pause(u *route.Upstream, d time.Duration, now time.Time) {
@@ -26,6 +30,7 @@
 		return
 	}
 	if !now.Before(state.pausedUntil) {
+		pausesTotal.Inc()
 		s.logger().Info("upstream paused",
 			zap.String("service", string(u.Service)),
 			zap.String("upstream", string(u.Name)),
--- a/explain/report_test.go
+++ b/explain/report_test.go
@@ -184,3 +184,35 @@
 		t.Errorf("report differs (-want +got):\n%s", diff)
 	}
 }
+
+// TestReportLeavingUpstream checks that the report on a request contains what its entry had
+// learnt from the answers of the upstream that it was sent to: that it leaves, and that it
+// wants a pause.
+func TestReportLeavingUpstream(t *testing.T) {
+	const text = `ts=2026-03-02T13:22:40.000Z level=info msg="upstream leaves" instance=e1 service=s upstream=u1 start=7
+ts=2026-03-02T13:22:40.100Z level=info msg="upstream paused" instance=e1 service=s upstream=u2 pause=1.5
+ts=2026-03-02T13:22:42.000Z level=info msg="attempt refused" instance=e1 request=r upstream=u2 status=503
+ts=2026-03-02T13:22:42.000Z level=info msg=request instance=e1 request=r service=s upstream=u1 reason=upstreams-paused
+`
+	lines, err := explain.Read(strings.NewReader(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got strings.Builder
+	err = explain.NewReport("r", lines).Write(&got)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := `What e1 believed:
+   13:22:40.000 e1: upstream leaves service=s upstream=u1 start=7
+   13:22:40.100 e1: upstream paused service=s upstream=u2 pause=1.5
+The request:
+   13:22:42.000 e1: attempt refused request=r upstream=u2 status=503
+   13:22:42.000 e1: request request=r service=s upstream=u1 reason=upstreams-paused
+
+Not run: all upstreams had asked for no requests for a time. The caller was told when the first wants some again.
+`
+	if diff := cmp.Diff(want, got.String()); diff != "" {
+		t.Errorf("report differs (-want +got):\n%s", diff)
+	}
+}
--- a/watch/leaving.go
+++ b/watch/leaving.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/route"
 	"go.uber.org/zap"
@@ -16,6 +17,10 @@
 	maxDepartures = 1 << 12
 )
 
+// leavingTotal counts the upstreams that said in an answer that they leave, before their
+// rows did.
+var leavingTotal = metrics.NewCounter("foxtailstack_watch_leaving_total")
+
 // departure is the end of one start of an upstream.
 type departure struct {
 	start int64
@@ -32,7 +37,11 @@
 		v.mu.Unlock()
 		return
 	}
-	v.Log.Info("upstream leaves", zap.String("upstream", string(u.Name)), zap.Int64("start", u.StartUnixMilli))
+	leavingTotal.Inc()
+	v.Log.Info("upstream leaves",
+		zap.String("service", string(u.Service)),
+		zap.String("upstream", string(u.Name)),
+		zap.Int64("start", u.StartUnixMilli))
 	v.recordLeaving(u)
 	if u.StartUnixMilli == 0 {
 		current.Draining = true
