--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -151,6 +151,18 @@
 	return made
 }
 
+// entryOf returns the entry that a request was sent to, or -1 if it is none of the callers'.
+func (c *callers) entryOf(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var n int
+	_, err := fmt.Sscanf(id, "r%d", &n)
+	if err != nil || n < 1 || n > len(c.calls) {
+		return -1
+	}
+	return c.calls[n-1].entry
+}
+
 // send sends one request and waits for its end.
 func (c *callers) send(client *http.Client, entry int) {
 	made := c.begin(entry)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -64,12 +64,13 @@
 	rng := rand.New(rand.NewPCG(seed, 5))
 	s := newSystem(t, binary, seed)
 	defer s.stopAll()
-	s.awaitReady()
 	c := &callers{
 		system: s,
 		key:    standin.ConfigKey,
 		gone:   make(map[string]time.Time),
 	}
+	s.entryOf = c.entryOf
+	s.awaitReady()
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	wg.Go(func() { c.run(ctx) })
@@ -236,8 +237,9 @@
 	c.mu.Unlock()
 }
 
-// calm checks that nearly all is served, that a planned stop cuts nothing, and that a
-// request that crashes upstreams is not sent on.
+// calm checks that nearly all is served, that a planned stop cuts nothing, that a request
+// that crashes upstreams is not sent on, and that an upstream that leaves or wants a pause
+// gets nothing.
 func (s *system) calm(rng *rand.Rand, c *callers, round int) {
 	troubleEnded := time.Now()
 	ctx, cancel := context.WithCancel(s.t.Context())
@@ -251,7 +253,16 @@
 	}()
 	time.Sleep(healTime)
 	began := time.Now()
+	leaving := rng.IntN(plain)
+	mode := []leaverMode{leaves, pauses}[rng.IntN(2)]
+	s.leavers[leaving].begin(mode)
 	time.Sleep(calmTime)
+	for _, request := range s.leavers[leaving].end() {
+		s.t.Errorf("request %s reached an upstream that leaves or wants a pause (%d)", request, mode)
+	}
+	if mode == leaves {
+		s.register(plainMachine, leaving, "drafts", fmt.Sprintf("drafts-%d-after-%d", leaving, round))
+	}
 	p := s.processes[rng.IntN(*entries)]
 	stopped := time.Now()
 	s.restart(p, syscall.SIGTERM)
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -66,6 +66,10 @@
 	runs    *ledger
 	// crashes records the requests that crash plain upstreams.
 	crashes *standin.CrashLog
+	// leavers holds the plain upstreams, entryOf returns the entry that a request was sent
+	// to, or -1.
+	leavers []*leaver
+	entryOf func(id string) int
 	stops   []func()
 }
 
@@ -158,11 +162,16 @@
 
 // plainUpstream starts an upstream that works alone and can crash.
 func (s *system) plainUpstream(i int) {
+	l := &leaver{
+		next:    s.runs.answer,
+		entryOf: func(id string) int { return s.entryOf(id) },
+	}
+	s.leavers = append(s.leavers, l)
 	c := &crasher{
 		log:      s.crashes,
 		register: func(name string) { s.register(plainMachine, i, "drafts", name) },
 		name:     fmt.Sprintf("drafts-%d", i),
-		work:     s.runs.answer,
+		work:     l.ServeHTTP,
 	}
 	c.served = s.upstream(plainMachine, i, "drafts", c)
 }
