--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -130,10 +131,11 @@
 				if test.before == nil {
 					test.before = []route.Upstream{firstStart}
 				}
-				fleet := route.NewFleet(1, test.before)
+				var fleet atomic.Pointer[route.Fleet] // timers of the detector read it too
+				fleet.Store(route.NewFleet(1, test.before))
 				var list List
 				d := &Detector{
-					Fleet:  func() *route.Fleet { return fleet },
+					Fleet:  fleet.Load,
 					Prober: test.prober,
 					Report: func(crashes []Crash) { addAll(&list, crashes) },
 				}
@@ -142,7 +144,7 @@
 				}
 				time.Sleep(test.wait)
 				if test.after != nil {
-					fleet = route.NewFleet(2, test.after)
+					fleet.Store(route.NewFleet(2, test.after))
 				}
 				d.FleetChanged()
 				if diff := cmp.Diff(test.want, len(list.All())); diff != "" {
