--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -19,10 +19,11 @@
 type testStore struct {
 	mu sync.Mutex
 	// fails is the number of calls that fail next.
-	fails  int
-	calls  int
-	rows   map[string][]byte
-	tables []*Table
+	fails int
+	calls int
+	rows  map[string][]byte
+	// feeds holds a feed for each table, which keeps the order of the changes.
+	feeds []chan []foxtailstack.Record
 }
 
 func (s *testStore) Write(_ context.Context, _ string, records []foxtailstack.Record, remove []string) error {
@@ -44,8 +45,8 @@
 			Deleted: true,
 		})
 	}
-	for _, table := range s.tables {
-		go table.Update(changes, 0)
+	for _, feed := range s.feeds {
+		feed <- changes
 	}
 	return nil
 }
@@ -88,13 +89,27 @@
 		Log:       zap.NewNop(),
 	}
 	table.Replace(s.all(), 0)
+	feed := make(chan []foxtailstack.Record, 64)
 	s.mu.Lock()
-	s.tables = append(s.tables, table)
+	s.feeds = append(s.feeds, feed)
 	s.mu.Unlock()
+	go follow(ctx, feed, table)
 	go table.Run(ctx)
 	return table
 }
 
+// follow passes the changes of a feed to a table until ctx ends.
+func follow(ctx context.Context, feed <-chan []foxtailstack.Record, table *Table) {
+	for {
+		select {
+		case changes := <-feed:
+			table.Update(changes, 0)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // runTables runs a test with a store and two tables on it.
 func runTables(t *testing.T, test func(t *testing.T, s *testStore, a, b *Table)) {
 	t.Helper()
