--- a/group/armrecord.go
+++ b/group/armrecord.go
@@ -152,7 +152,6 @@
 	ctx context.Context,
 	order Order,
 	lastRank foxtailstack.Rank,
-	armed func(Report) bool,
 ) error {
 	order.Fence = s.fence
 	order.Formation = s.formation
@@ -174,7 +173,7 @@
 			if errors.Is(err, ErrFormationChanged) {
 				return err
 			}
-			if err == nil && armed(report) {
+			if err == nil && order.doneIn(report) {
 				return nil
 			}
 		}
--- a/group/candidate.go
+++ b/group/candidate.go
@@ -140,11 +140,12 @@
 		StoreDemand: func(demand []byte) {
 			store.saveAsync(ctx, demand)
 		},
-		Publish: c.Sidecar.publish,
-		Log:     c.Log,
+		Publish: func(status *statusMessage) {
+			c.Sidecar.learnStatus(status)
+		},
+		Log: c.Log,
 	}
 	planner.RestoreDemand(store.load(ctx))
 	err = planner.Run(ctx)
-	c.Sidecar.publish(nil)
 	c.Log.Info("planner ended", zap.String("group", string(report.Group)), zap.Error(err))
 }
--- a/group/message_test.go
+++ b/group/message_test.go
@@ -30,7 +30,7 @@
 		},
 		{
 			name:    "status",
-			message: &Status{},
+			message: &statusMessage{},
 		},
 		{
 			name:    "statusanswer",
@@ -53,12 +53,20 @@
 			message: &Sample{},
 		},
 		{
-			name:    "relayed",
-			message: &relayRequest{},
+			name:    "forwarded",
+			message: &forwardRequest{},
 		},
 		{
-			name:    "unrelayed",
-			message: &relayReply{},
+			name:    "forwardreply",
+			message: &forwardReply{},
+		},
+		{
+			name:    "gather",
+			message: &gatherRequest{},
+		},
+		{
+			name:    "gatherreply",
+			message: &gatherReply{},
 		},
 		{
 			name:    "armrecord",
--- a/group/planner.go
+++ b/group/planner.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
@@ -35,6 +37,12 @@
 	minSkewGain = 0.2
 	// skewGainPerCopy is added to that minimum for each expert to copy.
 	skewGainPerCopy = 0.001
+	// sampleBytesPerSecond bounds what the samples take of the link of the planner's
+	// machine while the demand is steady.
+	sampleBytesPerSecond = 80_000
+	// rememberedRounds is the number of orders to all ranks from which the time of the
+	// next is expected.
+	rememberedRounds = 4
 )
 
 // Planner changes the expert maps of one group as long as its sidecar is
@@ -53,7 +61,7 @@
 	// of map.
 	StoreDemand func(demand []byte)
 	// Publish is called with the status for entries after each survey.
-	Publish func(status *Status)
+	Publish func(status *statusMessage)
 	Log     *zap.Logger
 
 	roster roster
@@ -67,10 +75,10 @@
 	// formation.
 	highestMap foxtailstack.Epoch
 	lastChange time.Time
-	// announcedFormation is the formation in which announcedRanks ranks know
-	// the fencing token of this planner.
+	// announcedFormation is the formation in which the ranks in announced know the
+	// fencing token of this planner.
 	announcedFormation Formation
-	announcedRanks     int
+	announced          map[foxtailstack.Rank]bool
 	// settled is set if no switch was open at the last survey after that
 	// announcement.
 	settled bool
@@ -80,6 +88,18 @@
 	// the group was idle.
 	passTime time.Duration
 	passes   passMeter
+	// rounds holds the times that orders to all ranks have taken.
+	rounds roundMeter
+	// lastSamples is the time of the last survey with samples, sampleBytes their size.
+	lastSamples time.Time
+	sampleBytes int
+	// status is the status of the last survey, published at publishedAt. The next survey
+	// passes it on, with its table of ranks if sendTable is set.
+	status      *statusMessage
+	publishedAt time.Time
+	sendTable   bool
+	// fanOut, if it is not zero, replaces treeFanOut.
+	fanOut int
 }
 
 // RestoreDemand restores the demand estimate that the last planner stored.
@@ -101,8 +121,8 @@
 			continue
 		}
 		asked := p.roster.pick(p.Name, members, p.incomplete, began)
-		survey := takeSurvey(ctx, p.Name, asked, p.grace())
-		p.roster.update(members, survey.Groups)
+		survey := takeSurvey(ctx, p.nextSurvey(asked, began))
+		p.roster.update(members, asked, survey.Groups)
 		p.incomplete = !survey.Complete()
 		surveysTotal.Inc()
 		if !survey.Complete() {
@@ -112,10 +132,7 @@
 			return ErrSuperseded
 		}
 		p.passTime = p.passes.mean(survey.step(), began)
-		p.Publish(&Status{
-			Group: p.Name,
-			Ranks: survey.rankStatuses(),
-		})
+		p.publish(&survey)
 		p.surveyNow = false
 		err := p.handleSurvey(ctx, &survey)
 		if err != nil {
@@ -135,6 +152,53 @@
 	}
 }
 
+// nextSurvey returns the request for a survey of members.
+func (p *Planner) nextSurvey(asked []Member, now time.Time) surveyRequest {
+	request := surveyRequest{
+		name:  p.Name,
+		tree:  p.roster.tree(asked, p.treeFanOut()),
+		grace: p.grace(),
+	}
+	request.withSamples = !p.demand.Steady() || now.Sub(p.lastSamples) >= p.sampleInterval()
+	if request.withSamples {
+		p.lastSamples = now
+	}
+	if p.status != nil {
+		request.status = p.status
+		if !p.sendTable {
+			request.status = p.status.withoutTable()
+		}
+		request.status.Age = now.Sub(p.publishedAt)
+	}
+	return request
+}
+
+// treeFanOut returns the number of members that forward messages of the planner.
+func (p *Planner) treeFanOut() int {
+	if p.fanOut > 0 {
+		return p.fanOut
+	}
+	return treeFanOut
+}
+
+// sampleInterval returns the least time between two surveys with samples while the
+// demand is steady, so that the samples take no more than sampleBytesPerSecond.
+func (p *Planner) sampleInterval() time.Duration {
+	return time.Duration(p.sampleBytes) * time.Second / sampleBytesPerSecond
+}
+
+// publish publishes the status of a survey, here and with the next survey.
+func (p *Planner) publish(survey *Survey) {
+	status := newStatusMessage(&Status{
+		Group: p.Name,
+		Ranks: survey.rankStatuses(),
+	})
+	p.sendTable = survey.lacksTable || p.status == nil || p.status.Table != status.Table
+	p.status = status
+	p.publishedAt = time.Now()
+	p.Publish(status)
+}
+
 // interval returns the time between two surveys.
 func (p *Planner) interval() time.Duration {
 	if p.demand.Steady() {
@@ -165,12 +229,19 @@
 	p.updateDemand(survey, config)
 	s := newSwitcher(survey, p.Self, p.Fence, p.Log)
 	s.passTime = p.passTime
+	s.roundTime = p.rounds.expected()
+	s.fanOut = p.treeFanOut()
 	if len(survey.Reports) == 0 || !survey.sameFormation() {
 		return nil
 	}
-	p.settled = p.announcedFormation == s.formation && !survey.switchOpen()
-	if p.announcedFormation != s.formation || p.announcedRanks != len(survey.Reports) {
-		return p.announceFence(ctx, survey, s)
+	if p.announcedFormation != s.formation {
+		p.announcedFormation = s.formation
+		p.announced = make(map[foxtailstack.Rank]bool, len(survey.Reports))
+	}
+	p.settled = len(p.announced) > 0 && !survey.switchOpen()
+	unaware := p.unawareMembers(survey)
+	if len(unaware) > 0 {
+		return p.announceFence(ctx, s, unaware)
 	}
 	if version, ok := survey.mapOfSilentProposer(); ok {
 		return s.settleWithoutProposer(ctx, survey, version)
@@ -201,7 +272,11 @@
 	if hadEstimate && p.formation != 0 && p.formation != survey.formation() {
 		return
 	}
+	if len(survey.Samples) > 0 {
+		p.sampleBytes = 0
+	}
 	for _, sample := range survey.Samples {
+		p.sampleBytes += len(sample.Levels)
 		p.demand.Add(sample)
 	}
 	wasSteady := p.demand.Steady()
@@ -212,16 +287,31 @@
 	}
 }
 
-// announceFence makes the planner's fencing token known to all ranks that
-// answered, so that they refuse orders of former planners that arrive late. The
-// next step follows from the next survey, which is due at once.
-func (p *Planner) announceFence(ctx context.Context, survey *Survey, s *switcher) error {
-	err := s.announceFence(ctx)
+// unawareMembers returns the members that answered a survey and to which the planner's
+// fencing token has not been announced in their formation.
+func (p *Planner) unawareMembers(survey *Survey) map[foxtailstack.Rank]Member {
+	unaware := make(map[foxtailstack.Rank]Member)
+	for rank, member := range survey.Members {
+		if !p.announced[rank] {
+			unaware[rank] = member
+		}
+	}
+	return unaware
+}
+
+// announceFence makes the planner's fencing token known to members, so that they refuse
+// orders of former planners that arrive late. The next step follows from the next
+// survey, which is due at once.
+func (p *Planner) announceFence(ctx context.Context, s *switcher, members map[foxtailstack.Rank]Member) error {
+	began := time.Now()
+	err := s.announceFence(ctx, members)
 	if err != nil {
 		return err
 	}
-	p.announcedFormation = s.formation
-	p.announcedRanks = len(survey.Reports)
+	p.rounds.add(time.Since(began))
+	for rank := range members {
+		p.announced[rank] = true
+	}
 	p.surveyNow = true
 	return nil
 }
@@ -254,8 +344,9 @@
 	for s := range layers {
 		layers[s] = make(foxtailstack.ExpertLayer, len(survey.Members))
 	}
-	for rank, member := range survey.Members {
-		lister, ok := member.(ExpertLister)
+	ranks := slices.Collect(maps.Keys(survey.Members))
+	err := concurrently(ranks, func(rank foxtailstack.Rank) error {
+		lister, ok := survey.Members[rank].(ExpertLister)
 		if !ok {
 			return ErrRejected
 		}
@@ -269,6 +360,10 @@
 		for s := range layers {
 			layers[s][rank] = experts[s]
 		}
+		return nil
+	})
+	if err != nil {
+		return err
 	}
 	p.layers = layers
 	p.version = version
@@ -297,10 +392,11 @@
 		return err
 	}
 	prepared := time.Now()
-	step, err := p.switchMap(ctx, s, version)
+	step, times, err := p.switchMap(ctx, s, version)
 	if err != nil {
 		return err
 	}
+	p.rounds.add(times.arm)
 	p.layers = plan.layers
 	p.version = version
 	p.StoreDemand(p.demand.Encode())
@@ -318,14 +414,19 @@
 		zap.Float64("planned", plan.skewAfter),
 		zap.Int("copies", plan.copies),
 		zap.Duration("prepare", prepared.Sub(began)),
-		zap.Duration("switch", time.Since(prepared)))
+		zap.Duration("switch", time.Since(prepared)),
+		zap.Duration("lead", s.leadTime()),
+		zap.Duration("hold", times.hold),
+		zap.Duration("arm", times.arm),
+		zap.Duration("release", times.release),
+		zap.Duration("passtime", p.passTime))
 	return nil
 }
 
 // switchMap switches the group to a prepared map. If ctx ends meanwhile, the
 // switch goes on for at most stopGrace, so that the group is not held until another
 // planner takes over.
-func (p *Planner) switchMap(ctx context.Context, s *switcher, version foxtailstack.Epoch) (foxtailstack.Step, error) {
+func (p *Planner) switchMap(ctx context.Context, s *switcher, version foxtailstack.Epoch) (foxtailstack.Step, switchTimes, error) {
 	stopping, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	defer context.AfterFunc(ctx, func() { time.AfterFunc(stopGrace, cancel) })()
@@ -370,6 +471,28 @@
 	return best
 }
 
+// roundMeter keeps the times of the last orders to all ranks.
+type roundMeter struct {
+	times []time.Duration
+}
+
+// add adds the time that an order to all ranks has taken.
+func (m *roundMeter) add(d time.Duration) {
+	m.times = append(m.times, d)
+	if len(m.times) > rememberedRounds {
+		m.times = m.times[1:]
+	}
+}
+
+// expected returns the time that the next order to all ranks is expected to take at
+// most, or zero if there was none yet.
+func (m *roundMeter) expected() time.Duration {
+	if len(m.times) == 0 {
+		return 0
+	}
+	return slices.Max(m.times)
+}
+
 // passMeter measures the mean time of passes.
 type passMeter struct {
 	step     foxtailstack.Step
--- a/group/relay.go
+++ b/group/relay.go
@@ -2,143 +2,179 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/internal/clock"
 )
 
+// pathForward is the path of orders that a sidecar carries out, confirms and forwards
+// to other sidecars.
+const pathForward = "/forward"
+
 const (
-	// pathRelay is the path of orders that a sidecar also forwards to other
-	// sidecars.
-	pathRelay = "/relay"
-	// relayFanOut is the number of sidecars to which one sidecar forwards an
-	// order. Only orders to prepare are relayed, and only in groups of more than
-	// twice as many ranks.
-	relayFanOut = 8
+	// localConfirmTimeout bounds the time that a sidecar waits until the report of its
+	// rank shows that an order was carried out, other than one to prepare.
+	localConfirmTimeout = 60 * time.Millisecond
+	// confirmPollInterval is the time between two reports that it asks for meanwhile.
+	confirmPollInterval = 8 * time.Millisecond
 )
 
-// Relayer is a member whose sidecar carries out an order and forwards it to the
-// sidecars of other members. Relay returns the members that may not have
-// carried it out.
-type Relayer interface {
-	Relay(ctx context.Context, order Order, to []Member) []Member
+// Forwarder is a member whose sidecar forwards messages to the sidecars of other
+// members.
+type Forwarder interface {
+	// Forward makes the sidecar carry out an order and forward it. It returns the
+	// members whose reports have not shown that they carried it out.
+	Forward(ctx context.Context, order Order, to []Member) []Member
+	// Gather observes the member and those in to. It returns the observations of those
+	// that answered, and the sum of the samples if withSample is set. A non-nil status
+	// is passed on to all of them.
+	Gather(ctx context.Context, to []Member, withSample bool, status *statusMessage) (gathered, error)
 }
 
-// relayRequest is an order with the sidecars to which it is to be forwarded.
-type relayRequest struct {
+// forwardRequest is an order with the sidecars to which it is to be forwarded.
+type forwardRequest struct {
 	Order Order                  `cbor:"1,keyasint"`
-	To    []foxtailstack.Address `cbor:"2,keyasint"`
+	To    []foxtailstack.Address `cbor:"2,keyasint,omitempty"`
 }
 
-// relayReply lists the sidecars that may not have carried out an order, since an
-// answer may have been lost. OwnFailed is set if the rank of the replying sidecar
-// may not have.
-type relayReply struct {
+// forwardReply lists the sidecars whose ranks have not shown that they carried out an
+// order. OwnFailed is set if the rank of the replying sidecar has not.
+type forwardReply struct {
 	OwnFailed bool                   `cbor:"1,keyasint,omitempty"`
 	Failed    []foxtailstack.Address `cbor:"2,keyasint,omitempty"`
 }
 
-// Relay makes the sidecar carry out an order and forward it to the sidecars of
-// the members in to. The order is sent with its patch alone: a sidecar that lacks
-// the base fails, and the planner sends it the whole map. The timeout includes
-// localPrepareTimeout twice, since the relaying sidecar waits for the others.
-func (p *Peer) Relay(ctx context.Context, order Order, to []Member) []Member {
-	all := append([]Member{p}, to...)
-	message := relayRequest{Order: order}
-	message.Order.Layers = nil
-	members := make(map[foxtailstack.Address]Member, len(to))
-	for _, member := range to {
-		peer, ok := member.(*Peer)
-		if !ok {
-			return all
-		}
-		members[peer.Sidecar] = member
-		message.To = append(message.To, peer.Sidecar)
+// doneIn reports whether a report of the rank shows that the order was carried out. A
+// rank that already uses a map counts as armed for it.
+func (o Order) doneIn(r Report) bool {
+	switch o.Action {
+	case Prepare:
+		return r.Prepared == o.Map
+	case Arm:
+		return r.Armed && r.ArmedMap == o.Map && r.ArmedStep == o.Step || r.Map == o.Map
+	case Disarm:
+		return !r.Armed
+	case Hold:
+		return r.Held && r.HeldStep == o.Step
+	case Release:
+		return !r.Held || r.HeldStep != o.Step
+	}
+	return false
+}
+
+// localTimeout bounds the time that a sidecar needs until its rank has carried out the
+// order and the report shows it.
+func (o Order) localTimeout() time.Duration {
+	if o.Action == Prepare {
+		return localPrepareTimeout
+	}
+	return localAttempts*localOrderTimeout + localConfirmTimeout
+}
+
+// forward makes the sidecar carry out an order, confirm it and forward it to other
+// sidecars. The order is sent with its patch alone: a sidecar that lacks the base fails,
+// and the planner sends it the whole map. forward returns the sidecars that failed,
+// which may include the peer's own.
+func (p *Peer) forward(ctx context.Context, order Order, to []foxtailstack.Address) []foxtailstack.Address {
+	message := forwardRequest{
+		Order: order,
+		To:    to,
 	}
-	var answer relayReply
-	err := p.callWithExtra(ctx, 2*localPrepareTimeout, http.MethodPost, pathRelay, message, &answer)
+	message.Order.Layers = nil
+	var answer forwardReply
+	err := p.callWithExtra(ctx, order.localTimeout()+forwardTimeout(len(to)), http.MethodPost, pathForward, message, &answer)
 	if err != nil {
-		return all
+		return append([]foxtailstack.Address{p.Sidecar}, to...)
 	}
-	var failed []Member
+	failed := answer.Failed
 	if answer.OwnFailed {
-		failed = append(failed, p)
+		failed = append(failed, p.Sidecar)
 	}
-	for _, address := range answer.Failed {
+	return failed
+}
+
+// Forward makes the peer's sidecar carry out an order and forward it.
+func (p *Peer) Forward(ctx context.Context, order Order, to []Member) []Member {
+	members, addresses := membersBySidecar(p, to)
+	var failed []Member
+	for _, address := range p.forward(ctx, order, addresses) {
 		failed = append(failed, members[address])
 	}
 	return failed
 }
 
-// serveRelay carries out an order and forwards it to other sidecars at the same
-// time.
-func (s *Sidecar) serveRelay(w http.ResponseWriter, r *http.Request) {
-	var message relayRequest
+// membersBySidecar returns the members of a branch by the addresses of their sidecars,
+// and the addresses of those in rest. Members that are no peers have none.
+func membersBySidecar(head *Peer, rest []Member) (map[foxtailstack.Address]Member, []foxtailstack.Address) {
+	members := map[foxtailstack.Address]Member{head.Sidecar: head}
+	addresses := make([]foxtailstack.Address, 0, len(rest))
+	for _, member := range rest {
+		peer, ok := member.(*Peer)
+		if !ok {
+			continue
+		}
+		members[peer.Sidecar] = member
+		addresses = append(addresses, peer.Sidecar)
+	}
+	return members, addresses
+}
+
+// serveForward carries out an order and forwards it to other sidecars at the same time.
+func (s *Sidecar) serveForward(w http.ResponseWriter, r *http.Request) {
+	var message forwardRequest
 	if !decodeRequest(w, r, &message) {
 		return
 	}
-	var answer relayReply
+	var answer forwardReply
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		err := s.Order(r.Context(), message.Order)
+		err := s.orderAndConfirm(r.Context(), message.Order)
 		mu.Lock()
 		defer mu.Unlock()
 		answer.OwnFailed = err != nil
 	})
-	for _, address := range message.To {
+	for _, part := range split(message.To, treeFanOut) {
 		wg.Go(func() {
 			peer := &Peer{
-				Sidecar: address,
+				Sidecar: part[0],
 				Client:  s.Client,
 			}
-			err := peer.orderSidecar(r.Context(), message.Order)
+			failed := peer.forward(r.Context(), message.Order, part[1:])
 			mu.Lock()
 			defer mu.Unlock()
-			if err != nil {
-				answer.Failed = append(answer.Failed, address)
-			}
+			answer.Failed = append(answer.Failed, failed...)
 		})
 	}
 	wg.Wait()
 	writeReply(w, nil, answer)
 }
 
-// relayToAll sends an order to the ranks of a large group through relaying
-// sidecars. It returns the ranks that may not have carried it out, which
-// include all ranks of a small group and all members that are no Relayer.
-func (s *switcher) relayToAll(ctx context.Context, order Order) map[foxtailstack.Rank]Member {
-	order.Fence = s.fence
-	order.Formation = s.formation
-	pending := make(map[foxtailstack.Rank]Member)
-	ranks := make(map[Member]foxtailstack.Rank, len(s.members))
-	var chunks [][]Member
-	for rank, member := range s.members {
-		ranks[member] = rank
-		_, ok := member.(Relayer)
-		if !ok || len(s.members) <= relayFanOut*2 {
-			pending[rank] = member
-			continue
+// orderAndConfirm forwards an order to the rank and waits until the rank's report shows
+// that it was carried out. An answer alone does not show that: the order may be in
+// progress. A report alone does not show that the rank knows the fencing token.
+func (s *Sidecar) orderAndConfirm(ctx context.Context, order Order) error {
+	err := s.Order(ctx, order)
+	if order.Action == Prepare || err != nil && !errors.Is(err, ErrStateMismatch) {
+		return err // Order itself waits until a map is prepared
+	}
+	ctx, cancel := context.WithTimeout(ctx, localConfirmTimeout)
+	defer cancel()
+	for {
+		report, reportErr := s.Rank.Report(ctx)
+		confirmed := reportErr == nil && report.Formation == order.Formation && report.Open && order.doneIn(report)
+		if confirmed {
+			return nil
 		}
-		if len(chunks) == 0 || len(chunks[len(chunks)-1]) > relayFanOut {
-			chunks = append(chunks, nil)
+		if err != nil {
+			return err
+		}
+		if clock.Sleep(ctx, confirmPollInterval) != nil {
+			return ErrTimeout
 		}
-		chunks[len(chunks)-1] = append(chunks[len(chunks)-1], member)
-	}
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	for _, chunk := range chunks {
-		wg.Go(func() {
-			relayer, _ := chunk[0].(Relayer)
-			failed := relayer.Relay(ctx, order, chunk[1:])
-			mu.Lock()
-			defer mu.Unlock()
-			for _, member := range failed {
-				pending[ranks[member]] = member
-			}
-		})
 	}
-	wg.Wait()
-	return pending
 }
--- a/group/roster_test.go
+++ b/group/roster_test.go
@@ -29,7 +29,7 @@
 	if diff := cmp.Diff(all, addresses(r.pick(own, members, false, now))); diff != "" {
 		t.Errorf("before any survey (-want +got):\n%s", diff)
 	}
-	r.update(members, map[foxtailstack.Address]Name{
+	r.update(members, members, map[foxtailstack.Address]Name{
 		"a": own,
 		"b": other,
 	})
@@ -43,7 +43,7 @@
 	if diff := cmp.Diff(want, addresses(r.pick(own, members, true, now.Add(fullSurveyInterval/2)))); diff != "" {
 		t.Errorf("with a rank still missing after less than fullSurveyInterval (-want +got):\n%s", diff)
 	}
-	r.update(members[:1], nil)
+	r.update(members[:1], nil, nil)
 	if diff := cmp.Diff([]foxtailstack.Address{"a", "b", "c"}, addresses(r.pick(own, members, false, now))); diff != "" {
 		t.Errorf("after two members were off the list (-want +got):\n%s", diff)
 	}
--- a/group/sidecar.go
+++ b/group/sidecar.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/alexedwards/flow"
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/internal/clock"
 	"go.uber.org/zap"
@@ -33,6 +32,9 @@
 	// that it asks for meanwhile.
 	localPrepareTimeout = 600 * time.Millisecond
 	preparePollInterval = 15 * time.Millisecond
+	// maxSampleTime is the longest time that a sample may cover. After that the
+	// choices may be of a demand that has passed, so the next sample starts anew.
+	maxSampleTime = 800 * time.Millisecond
 )
 
 // PlannerInfo identifies the planner of a group and says what it asks for.
@@ -88,25 +90,23 @@
 	switching bool
 	// maps caches the last maps that the sidecar was ordered to forward.
 	maps mapCache
-	// lastCounts are the counts at the last sample.
+	// lastCounts are the counts at the last sample, which was taken at lastSample.
 	lastCounts Counts
-	// status is the status for entries while this sidecar's planner runs; nil
-	// otherwise.
-	status *publishedStatus
+	lastSample time.Time
+	// status is the status for entries.
+	status knownStatus
 }
 
-// Handler returns the HTTP handler for requests from planners, other sidecars
-// and entries.
-func (s *Sidecar) Handler() http.Handler {
-	mux := flow.New()
-	mux.HandleFunc(pathObserve, s.serveObserve, http.MethodPost)
-	mux.HandleFunc(pathReport, s.serveReport, http.MethodGet)
-	mux.HandleFunc(pathOrder, s.serveOrder, http.MethodPost)
-	mux.HandleFunc(pathRelay, s.serveRelay, http.MethodPost)
-	mux.HandleFunc(pathDelegate, s.serveDelegate, http.MethodPost)
-	mux.HandleFunc(pathStatus, s.serveStatus, http.MethodGet)
-	mux.HandleFunc(pathExperts, s.serveExperts, http.MethodGet)
-	return mux
+// Register adds the handlers of requests from planners, other sidecars and entries.
+func (s *Sidecar) Register(handle func(pattern string, handler http.HandlerFunc, methods ...string)) {
+	handle(pathObserve, s.serveObserve, http.MethodPost)
+	handle(pathReport, s.serveReport, http.MethodGet)
+	handle(pathOrder, s.serveOrder, http.MethodPost)
+	handle(pathForward, s.serveForward, http.MethodPost)
+	handle(pathGather, s.serveGather, http.MethodPost)
+	handle(pathDelegate, s.serveDelegate, http.MethodPost)
+	handle(pathStatus, s.serveStatus, http.MethodGet)
+	handle(pathExperts, s.serveExperts, http.MethodGet)
 }
 
 // plannerTimedOut reports whether the planner's timeout, prolonged by extra,
@@ -177,8 +177,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	answer.Sample = newSample(s.lastCounts, counts)
+	now := time.Now()
+	if now.Sub(s.lastSample) <= maxSampleTime {
+		answer.Sample = newSample(s.lastCounts, counts)
+	}
 	s.lastCounts = counts
+	s.lastSample = now
 	return answer, nil
 }
 
--- a/group/simgroup_test.go
+++ b/group/simgroup_test.go
@@ -58,10 +58,22 @@
 	violation string
 	// deliveryOf decides the delivery of an order to a rank.
 	deliveryOf func(rank foxtailstack.Rank, order Order) delivery
+	// fanOut is that of all planners; zero stands for treeFanOut.
+	fanOut int
+	// forwardLost decides whether a message that a sidecar is to forward is lost, and
+	// whether its reply is; nil stands for neither. The caller holds mu.
+	forwardLost func() (message, reply bool)
 	// delay returns by how much an order with the outcome delayed is late.
 	delay     func() time.Duration
 	formation Formation
 	maps      []foxtailstack.Epoch // version in use at each pass
+	// lastPassAt is the time at which the last pass began, longestPass the longest time
+	// between two.
+	lastPassAt  time.Time
+	longestPass time.Duration
+	// sendTime is the time that each message of a planner takes on the link of its
+	// machine, one after the other.
+	sendTime time.Duration
 	// history is the log of events, which is shown if a test fails.
 	history []string
 }
@@ -173,6 +185,11 @@
 		}
 	}
 	g.maps = append(g.maps, g.ranks[0].report.Map)
+	now := time.Now()
+	if !g.lastPassAt.IsZero() {
+		g.longestPass = max(g.longestPass, now.Sub(g.lastPassAt))
+	}
+	g.lastPassAt = now
 }
 
 // reopen opens the group anew. The caller holds mu.
--- a/group/simmember_test.go
+++ b/group/simmember_test.go
@@ -25,6 +25,24 @@
 type simPlanner struct {
 	mu          sync.Mutex
 	frozenUntil time.Time
+	// linkFreeAt is the time at which the link of the planner's machine is free, and sent
+	// the number of messages sent over it.
+	linkFreeAt time.Time
+	sent       int
+}
+
+// send waits until a message has passed the link of the planner's machine, which takes d.
+func (p *simPlanner) send(d time.Duration) {
+	p.mu.Lock()
+	p.sent++
+	now := time.Now()
+	if p.linkFreeAt.Before(now) {
+		p.linkFreeAt = now
+	}
+	p.linkFreeAt = p.linkFreeAt.Add(d)
+	wait := p.linkFreeAt.Sub(now)
+	p.mu.Unlock()
+	time.Sleep(wait)
 }
 
 // freeze freezes the planner for a time.
@@ -51,6 +69,9 @@
 // reached. A frozen machine does not answer before ctx ends.
 func (m *simMember) connect(ctx context.Context) bool {
 	m.planner.waitUntilAwake()
+	if !m.local {
+		m.planner.send(m.rank.group.sendTime)
+	}
 	if ctx.Err() != nil {
 		return false
 	}
@@ -96,21 +117,28 @@
 
 // Observe ignores withSample: it always takes a sample.
 func (m *simMember) Observe(ctx context.Context, _ bool) (Observation, error) {
-	report, err := m.Report(ctx)
-	if err != nil {
-		return Observation{}, err
+	if !m.connect(ctx) {
+		return Observation{}, errUnreachable
 	}
-	counts, err := m.Counts(ctx)
+	return m.observation(), nil
+}
+
+// observation returns the present observation of the rank's sidecar.
+func (m *simMember) observation() Observation {
 	m.rank.group.mu.Lock()
 	defer m.rank.group.mu.Unlock()
+	counts := Counts{
+		Formation: m.rank.group.formation,
+		Chosen:    slices.Clone(m.rank.chosen),
+	}
 	answer := Observation{
-		Report:    report,
+		Report:    m.rank.currentReport(),
 		Sample:    newSample(m.rank.lastCounts, counts),
 		ArmRecord: m.rank.armRecord,
 	}
 	m.rank.newestFence = max(m.rank.newestFence, m.fence)
 	m.rank.lastCounts = counts
-	return answer, err
+	return answer
 }
 
 // Delegate makes the sidecar of this rank order another rank to arm.
@@ -158,6 +186,11 @@
 	if !m.connect(ctx) {
 		return errNoAnswerInTime
 	}
+	return m.orderThroughSidecar(order)
+}
+
+// orderThroughSidecar sends an order through the rank's sidecar.
+func (m *simMember) orderThroughSidecar(order Order) error {
 	g := m.rank.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -218,12 +251,17 @@
 	state := &simPlanner{}
 	var members []Member
 	for _, r := range g.ranks {
-		members = append(members, &simMember{
+		member := &simMember{
 			rank:    r,
 			local:   r.index == self,
 			planner: state,
 			fence:   fence,
-		})
+		}
+		if member.local {
+			members = append(members, member)
+		} else {
+			members = append(members, &simPeer{simMember: member})
+		}
 	}
 	planner := &Planner{
 		Name:        "g",
@@ -232,8 +270,9 @@
 		Members:     func() []Member { return members },
 		GroupConfig: func() *route.Group { return simConfig },
 		StoreDemand: func([]byte) {},
-		Publish:     func(*Status) {},
+		Publish:     func(*statusMessage) {},
 		Log:         zap.NewNop(),
+		fanOut:      g.fanOut,
 	}
 	go func() { _ = planner.Run(ctx) }() // Run ends with ctx or when a newer planner takes over
 	return state
--- a/group/survey.go
+++ b/group/survey.go
@@ -14,17 +14,18 @@
 	// lastRankGrace is how much longer than all others the last rank may take,
 	// while the group may be held for a planner that has failed.
 	lastRankGrace = 80 * time.Millisecond
-	// maxSampledRanks is the maximum number of ranks that are asked for a
-	// sample. They are the same in each survey of the same members.
-	maxSampledRanks = 24
+	// sampledRanks is the number of ranks above which not all are asked for samples.
+	// The branches with samples are the same in each survey of the same tree.
+	sampledRanks = 24
 )
 
 // Survey holds the observations of all ranks that answered, taken at nearly one
 // time.
 type Survey struct {
-	// Reports, Samples, ArmRecords and Members are by rank.
+	// Samples holds the sum of the samples of each branch.
+	Samples []Sample
+	// Reports, ArmRecords and Members are by rank.
 	Reports    map[foxtailstack.Rank]Report
-	Samples    map[foxtailstack.Rank]Sample
 	ArmRecords map[foxtailstack.Rank]ArmRecord
 	Members    map[foxtailstack.Rank]Member
 	// Groups holds the group that each answering member reported, by its
@@ -32,6 +33,9 @@
 	Groups map[foxtailstack.Address]Name
 	// Fenced is set if a member has seen a newer planner.
 	Fenced bool
+	// lacksTable is set if a member does not know the table of ranks of the status that
+	// was passed on.
+	lacksTable bool
 }
 
 // Member is a rank of the group as a planner reaches it.
@@ -50,37 +54,109 @@
 	Observe(ctx context.Context, withSample bool) (Observation, error)
 }
 
+// surveyRequest is what a planner asks the members of a group for.
+type surveyRequest struct {
+	name Name
+	tree []branch
+	// withSamples asks for samples.
+	withSamples bool
+	// status is passed on to the members, if it is set.
+	status *statusMessage
+	// grace, if it is not zero, is how long to wait for the last member after all others
+	// have answered.
+	grace time.Duration
+}
+
+// surveyor takes one survey.
+type surveyor struct {
+	surveyRequest
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	// pending is the number of members that have not answered.
+	pending int
+	survey  Survey
+}
+
 // takeSurvey observes all members at once and keeps the observations of those
-// that belong to the named group. If grace is not zero, it waits no longer than
-// that for the last member after all others have answered.
-func takeSurvey(ctx context.Context, name Name, members []Member, grace time.Duration) Survey {
-	survey := Survey{
-		Reports:    make(map[foxtailstack.Rank]Report, len(members)),
-		Samples:    make(map[foxtailstack.Rank]Sample, len(members)),
-		ArmRecords: make(map[foxtailstack.Rank]ArmRecord, len(members)),
-		Members:    make(map[foxtailstack.Rank]Member, len(members)),
-		Groups:     make(map[foxtailstack.Address]Name, len(members)),
+// that belong to the named group.
+func takeSurvey(ctx context.Context, request surveyRequest) Survey {
+	n := 0
+	for _, branch := range request.tree {
+		n += len(branch.members())
 	}
 	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
 	defer cancel()
-	var mu sync.Mutex
+	s := &surveyor{
+		surveyRequest: request,
+		cancel:        cancel,
+		pending:       n,
+		survey: Survey{
+			Reports:    make(map[foxtailstack.Rank]Report, n),
+			ArmRecords: make(map[foxtailstack.Rank]ArmRecord, n),
+			Members:    make(map[foxtailstack.Rank]Member, n),
+			Groups:     make(map[foxtailstack.Address]Name, n),
+		},
+	}
+	stride := (n + sampledRanks - 1) / sampledRanks
 	var wg sync.WaitGroup
-	pending := len(members)
-	sampleStride := (len(members) + maxSampledRanks - 1) / maxSampledRanks
-	for i, member := range members {
+	for i, branch := range request.tree {
+		wg.Go(func() { s.observeBranch(ctx, branch, request.withSamples && i%stride == 0) })
+	}
+	wg.Wait()
+	return s.survey
+}
+
+// observeBranch observes the members of a branch through its head, and then those that
+// are missing from the answer.
+func (s *surveyor) observeBranch(ctx context.Context, branch branch, withSample bool) {
+	missing := branch.members()
+	head, ok := branch.head.(Forwarder)
+	if ok {
+		result, err := head.Gather(ctx, branch.rest, withSample, s.status)
+		missing = s.addGathered(missing, result, err)
+	}
+	var wg sync.WaitGroup
+	for _, member := range missing {
 		wg.Go(func() {
-			answer, err := member.Observe(ctx, i%sampleStride == 0)
-			mu.Lock()
-			defer mu.Unlock()
-			survey.add(name, member, answer, err)
-			pending--
-			if pending == 1 && grace > 0 {
-				time.AfterFunc(grace, cancel)
-			}
+			observation, err := member.Observe(ctx, withSample)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.survey.add(s.name, member, observation, err)
+			s.countAnswers(1)
 		})
 	}
 	wg.Wait()
-	return survey
+}
+
+// addGathered adds the result of observing a branch through its head, and returns the
+// members that are missing from it.
+func (s *surveyor) addGathered(members []Member, result gathered, err error) []Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.survey.Fenced = s.survey.Fenced || result.fenced || isFenced(err)
+	s.survey.lacksTable = s.survey.lacksTable || result.lacksTable
+	var missing []Member
+	for _, member := range members {
+		observation, ok := result.observations[member]
+		if !ok {
+			missing = append(missing, member)
+			continue
+		}
+		s.survey.add(s.name, member, observation, nil)
+	}
+	if result.sample.Levels != nil {
+		s.survey.Samples = append(s.survey.Samples, result.sample)
+	}
+	s.countAnswers(len(members) - len(missing))
+	return missing
+}
+
+// countAnswers counts members that are not waited for any longer. The caller holds mu.
+func (s *surveyor) countAnswers(n int) {
+	s.pending -= n
+	if s.pending == 1 && s.grace > 0 {
+		time.AfterFunc(s.grace, s.cancel)
+	}
 }
 
 // add adds the result of observing one member.
@@ -100,7 +176,7 @@
 	s.Members[rank] = member
 	s.ArmRecords[rank] = answer.ArmRecord
 	if answer.Sample.Levels != nil {
-		s.Samples[rank] = answer.Sample
+		s.Samples = append(s.Samples, answer.Sample)
 	}
 }
 
--- a/group/switch.go
+++ b/group/switch.go
@@ -34,10 +34,13 @@
 	heartbeatRanks    = 8
 	// holdTimeout bounds the time to make one rank hold the group.
 	holdTimeout = time.Second
-	// leadTime is the time between the newest pass and the held one.
-	// minLeadPasses is added to the number of passes in that time, and
+	// minLeadTime and maxLeadTime bound the time between the newest pass and the held
+	// one. holdTime is the part of it in which the group is made to hold, before ranks
+	// are armed. minLeadPasses is added to the number of passes in the lead time, and
 	// defaultLeadPasses is the lead while the time of a pass is not known.
-	leadTime          = 110 * time.Millisecond
+	minLeadTime       = 110 * time.Millisecond
+	maxLeadTime       = 700 * time.Millisecond
+	holdTime          = 40 * time.Millisecond
 	minLeadPasses     = 1
 	defaultLeadPasses = 4
 )
@@ -66,8 +69,13 @@
 	self foxtailstack.Rank
 	// passTime is the mean time of a pass; zero if it is not known.
 	passTime time.Duration
-	members  map[foxtailstack.Rank]Member
-	log      *zap.Logger
+	// roundTime is the time that an order to all ranks is expected to take; zero if it
+	// is not known.
+	roundTime time.Duration
+	// fanOut is the number of members that forward orders of the planner.
+	fanOut  int
+	members map[foxtailstack.Rank]Member
+	log     *zap.Logger
 }
 
 // newSwitcher returns a switcher for the ranks of a survey. It may be used only
@@ -87,13 +95,13 @@
 	}
 }
 
-// announceFence makes the fencing token known to every rank that answered the
-// survey, and returns once all have answered. The order that carries the token
-// is to release pass 0, which has no effect because no rank holds that pass.
-func (s *switcher) announceFence(ctx context.Context) error {
+// announceFence makes the fencing token known to members and returns once all have
+// answered. The order that carries the token is to release pass 0, which has no effect
+// because no rank holds that pass.
+func (s *switcher) announceFence(ctx context.Context, members map[foxtailstack.Rank]Member) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	return s.orderAll(ctx, s.members, Order{Action: Release}, func(Report) bool { return true })
+	return s.orderAll(ctx, members, Order{Action: Release})
 }
 
 // prepare makes every rank copy the experts of a map. It can be abandoned at
@@ -113,7 +121,7 @@
 		Patch:  patch,
 	}
 	go s.sendHeartbeats(ctx)
-	return s.orderAll(ctx, s.relayToAll(ctx, order), order, func(r Report) bool { return r.Prepared == version })
+	return s.orderAll(ctx, s.members, order)
 }
 
 // sendHeartbeats keeps the sidecars that would take over first from doing so,
@@ -136,17 +144,36 @@
 // The rank that holds the group is not the one beside the planner, so that
 // other planners can still release the group if the planner's machine freezes.
 // It gets its orders directly, not through its sidecar.
-func (s *switcher) switchTo(ctx context.Context, version foxtailstack.Epoch) (foxtailstack.Step, error) {
+func (s *switcher) switchTo(ctx context.Context, version foxtailstack.Epoch) (foxtailstack.Step, switchTimes, error) {
+	var times switchTimes
+	began := time.Now()
 	holder := s.chooseHoldingRank()
 	step, err := s.hold(ctx, holder)
+	times.hold = time.Since(began)
 	if err != nil {
-		return 0, err
+		return 0, times, err
 	}
+	began = time.Now()
 	err = s.armAll(ctx, version, step)
+	times.arm = time.Since(began)
 	if err != nil {
-		return step, err
+		return step, times, err
 	}
-	return step, s.release(ctx, holder, step)
+	began = time.Now()
+	err = s.release(ctx, holder, step)
+	times.release = time.Since(began)
+	return step, times, err
+}
+
+// switchTimes holds the times that the parts of a switch took.
+type switchTimes struct {
+	hold, arm, release time.Duration
+}
+
+// leadTime returns the time between the newest pass and the held one. All ranks should be
+// armed within it, so that no pass is delayed.
+func (s *switcher) leadTime() time.Duration {
+	return min(max(s.roundTime+holdTime, minLeadTime), maxLeadTime)
 }
 
 // lead returns by how many passes the held pass lies ahead of the newest one.
@@ -154,7 +181,7 @@
 	if s.passTime <= 0 {
 		return defaultLeadPasses
 	}
-	return minLeadPasses + foxtailstack.Step(leadTime/s.passTime)
+	return minLeadPasses + foxtailstack.Step(s.leadTime()/s.passTime)
 }
 
 // chooseHoldingRank returns the rank that is to hold the group during a switch.
@@ -235,15 +262,12 @@
 		Map:    version,
 		Step:   step,
 	}
-	armed := func(r Report) bool {
-		return r.Armed && r.ArmedMap == version && r.ArmedStep == step || r.Map == version
-	}
 	lastRank := proposerRank(version, len(s.members))
-	err := s.orderAll(ctx, s.membersExcept(lastRank), order, armed)
+	err := s.orderAll(ctx, s.membersExcept(lastRank), order)
 	if err != nil {
 		return err
 	}
-	return s.delegateArm(ctx, order, lastRank, armed)
+	return s.delegateArm(ctx, order, lastRank)
 }
 
 // disarmAll disarms every rank that answered the survey.
@@ -252,7 +276,7 @@
 		Action: Disarm,
 		Map:    version,
 	}
-	return s.orderAll(ctx, s.members, order, func(r Report) bool { return !r.Armed })
+	return s.orderAll(ctx, s.members, order)
 }
 
 // release lets a held group begin the pass.
@@ -262,7 +286,7 @@
 		Step:   step,
 	}
 	member := s.members[holder]
-	return s.orderUntilDone(ctx, member.Direct(), member, order, func(r Report) bool { return !r.Held || r.HeldStep != step })
+	return s.orderUntilDone(ctx, member.Direct(), member, order)
 }
 
 // otherRanks returns all ranks except one, in ascending order.
@@ -277,24 +301,34 @@
 	return others
 }
 
-// orderAll sends an order to ranks concurrently, until each has carried it out.
-// It stops early as orderUntilDone does.
-func (s *switcher) orderAll(
-	ctx context.Context,
-	members map[foxtailstack.Rank]Member,
-	order Order,
-	done func(Report) bool,
-) error {
-	errs := make([]error, 0, len(members))
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	for _, member := range members {
-		wg.Go(func() {
-			err := s.orderUntilDone(ctx, member, member, order, done)
-			mu.Lock()
-			defer mu.Unlock()
-			errs = append(errs, err)
+// orderAll sends an order to ranks concurrently, until each has carried it out. Most
+// get it through the sidecars of others, which confirm that it was carried out; those
+// that are not confirmed get it from the planner. It stops early as orderUntilDone does.
+func (s *switcher) orderAll(ctx context.Context, members map[foxtailstack.Rank]Member, order Order) error {
+	order.Fence = s.fence
+	order.Formation = s.formation
+	ordered := make([]Member, 0, len(members))
+	for _, rank := range slices.Sorted(maps.Keys(members)) {
+		ordered = append(ordered, members[rank])
+	}
+	return concurrently(newTree(ordered, s.fanOut), func(branch branch) error {
+		pending := branch.members()
+		head, ok := branch.head.(Forwarder)
+		if ok {
+			pending = head.Forward(ctx, order, branch.rest)
+		}
+		return concurrently(pending, func(member Member) error {
+			return s.orderUntilDone(ctx, member, member, order)
 		})
+	})
+}
+
+// concurrently calls f for all items at the same time and returns their joined errors.
+func concurrently[T any](items []T, f func(T) error) error {
+	errs := make([]error, len(items))
+	var wg sync.WaitGroup
+	for i, item := range items {
+		wg.Go(func() { errs[i] = f(item) })
 	}
 	wg.Wait()
 	return errors.Join(errs...)
@@ -305,7 +339,7 @@
 // show that, since the order may be in progress. A report alone does not show
 // that the rank knows the fencing token. It stops early if ctx ends, the group
 // opens anew or another planner takes over.
-func (s *switcher) orderUntilDone(ctx context.Context, via, observed Rank, order Order, done func(Report) bool) error {
+func (s *switcher) orderUntilDone(ctx context.Context, via, observed Rank, order Order) error {
 	sent := time.Time{}
 	answered, accepted := false, false
 	for {
@@ -322,7 +356,7 @@
 		if errors.Is(err, ErrFormationChanged) {
 			return err
 		}
-		if err == nil && answered && done(report) {
+		if err == nil && answered && order.doneIn(report) {
 			return nil
 		}
 		if clock.Sleep(ctx, orderRetryInterval) != nil {
--- a/group/switch_test.go
+++ b/group/switch_test.go
@@ -129,6 +129,7 @@
 		g := newSimGroup(3 + rng.IntN(3))
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
+		g.fanOut = 1 + rng.IntN(len(g.ranks))
 		lossRate := rng.Float64() * 0.5
 		deliveryRNG := rand.New(rand.NewPCG(seed, 2)) // used only while mu is held
 		g.deliveryOf = func(foxtailstack.Rank, Order) delivery {
@@ -137,6 +138,9 @@
 			}
 			return delivered
 		}
+		g.forwardLost = func() (message, reply bool) {
+			return deliveryRNG.Float64() < lossRate/2, deliveryRNG.Float64() < lossRate/2
+		}
 		g.delay = func() time.Duration { return 2*time.Second + time.Duration(deliveryRNG.Int64N(int64(10*time.Second))) }
 		go g.run(ctx)
 		for n := range plannersPerWalk {
--- a/group/watcher.go
+++ b/group/watcher.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -19,12 +21,12 @@
 	statusInterval = 300 * time.Millisecond
 	// statusTimeout bounds one request.
 	statusTimeout = 400 * time.Millisecond
-	// maxPlannersPerRound is the maximum number of planners that are asked in
+	// maxGroupsPerRound is the maximum number of groups whose status is asked for in
 	// one round.
-	maxPlannersPerRound = 3
+	maxGroupsPerRound = 3
 	// roundsPerSearch is the number of rounds after which the watcher also asks
-	// a sidecar whose upstream is in no status, to find further planners.
-	// While no planner is known, every round does so.
+	// a sidecar whose upstream is in no status, to find further groups. While no group
+	// is known, every round does so.
 	roundsPerSearch = 5
 )
 
@@ -35,8 +37,9 @@
 	Sidecar  foxtailstack.Address
 }
 
-// Watcher polls the planners of the groups behind a service for the status of
-// their groups.
+// Watcher polls sidecars for the status of the groups behind a service. It asks one
+// sidecar of each group, and another one when that has no recent status: all sidecars
+// of a group know its status, so that the entries do not all ask the same one.
 type Watcher struct {
 	Client *http.Client
 	// Endpoints returns the endpoints of all upstreams of the service.
@@ -45,63 +48,104 @@
 	OnStatus func(Status)
 	Log      *zap.Logger
 
-	mu sync.Mutex
-	// planners holds the sidecars whose planners run, each with the ranks of
-	// its last status; nil for one that another sidecar named and that has not
-	// answered yet.
-	planners map[foxtailstack.Address][]RankStatus
-	round    int
+	mu     sync.Mutex
+	groups map[Name]*watchedGroup
+	round  int
 	// statusLost is set from the failure of a request until the next status. A
-	// failed search while planners are known does not set it.
+	// failed search while groups are known does not set it.
 	statusLost bool
 }
 
+// watchedGroup is what a watcher knows of a group.
+type watchedGroup struct {
+	// sidecar is the sidecar to ask; empty if another one has to be chosen.
+	sidecar foxtailstack.Address
+	// addresses is the table of ranks with the ID table.
+	table     tableID
+	addresses []foxtailstack.Address
+}
+
+// statusQuery is a request to a sidecar for the status of its group.
+type statusQuery struct {
+	sidecar foxtailstack.Address
+	// group is the group whose status is expected; empty if any is.
+	group Name
+	table tableID
+}
+
 // Run polls until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	for clock.Sleep(ctx, statusInterval) == nil {
 		var wg sync.WaitGroup
-		for _, address := range w.nextSidecars() {
-			wg.Go(func() { w.query(ctx, address) })
+		for _, query := range w.nextQueries() {
+			wg.Go(func() { w.run(ctx, query) })
 		}
 		wg.Wait()
 	}
 }
 
-// nextSidecars returns the sidecars to ask in this round: known planners in
-// turn, and a random sidecar whose upstream is in no status, which may know another
-// planner. The latter is asked every roundsPerSearch rounds, and in each round while
-// no planner is known.
-func (w *Watcher) nextSidecars() []foxtailstack.Address {
+// nextQueries returns the queries of this round: for known groups in turn, and to a
+// random sidecar whose upstream is in no status, which may belong to another group. The
+// latter is asked every roundsPerSearch rounds, and in each round while no group is
+// known.
+func (w *Watcher) nextQueries() []statusQuery {
 	endpoints := w.Endpoints()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.round++
-	planners := make([]foxtailstack.Address, 0, len(w.planners))
-	for address := range w.planners {
-		planners = append(planners, address)
-	}
-	slices.Sort(planners)
-	due := make([]foxtailstack.Address, 0, maxPlannersPerRound+1)
-	for i := range min(maxPlannersPerRound, len(planners)) {
-		due = append(due, planners[(w.round*maxPlannersPerRound+i)%len(planners)])
-	}
-	if len(planners) > 0 && w.round%roundsPerSearch != 0 {
-		return due
+	w.chooseSidecars(endpoints)
+	names := slices.Sorted(maps.Keys(w.groups))
+	queries := make([]statusQuery, 0, maxGroupsPerRound+1)
+	for i := range min(maxGroupsPerRound, len(names)) {
+		name := names[(w.round*maxGroupsPerRound+i)%len(names)]
+		queries = append(queries, statusQuery{
+			sidecar: w.groups[name].sidecar,
+			group:   name,
+			table:   w.groups[name].table,
+		})
+	}
+	if len(names) > 0 && w.round%roundsPerSearch != 0 {
+		return queries
 	}
 	uncovered := w.uncoveredSidecars(endpoints)
 	if len(uncovered) > 0 {
-		due = append(due, uncovered[rand.IntN(len(uncovered))])
+		queries = append(queries, statusQuery{sidecar: uncovered[rand.IntN(len(uncovered))]})
+	}
+	return queries
+}
+
+// chooseSidecars chooses a random sidecar of each group that has none, and drops the
+// groups that have no upstream any more. The caller holds mu.
+func (w *Watcher) chooseSidecars(endpoints []RankEndpoints) {
+	sidecars := make(map[foxtailstack.Address]foxtailstack.Address, len(endpoints))
+	for _, endpoint := range endpoints {
+		sidecars[endpoint.Upstream] = endpoint.Sidecar
+	}
+	for name, group := range w.groups {
+		var present []foxtailstack.Address
+		for _, address := range group.addresses {
+			sidecar, ok := sidecars[address]
+			if ok {
+				present = append(present, sidecar)
+			}
+		}
+		if len(present) == 0 {
+			delete(w.groups, name)
+			continue
+		}
+		if !slices.Contains(present, group.sidecar) {
+			group.sidecar = present[rand.IntN(len(present))]
+		}
 	}
-	return due
 }
 
-// uncoveredSidecars returns the sidecars whose upstreams are in no planner's
-// status. The caller holds mu.
+// uncoveredSidecars returns the sidecars whose upstreams are in no status. The caller
+// holds mu.
 func (w *Watcher) uncoveredSidecars(endpoints []RankEndpoints) []foxtailstack.Address {
 	covered := make(map[foxtailstack.Address]bool)
-	for _, ranks := range w.planners {
-		for _, rank := range ranks {
-			covered[rank.Address] = true
+	for _, group := range w.groups {
+		for _, address := range group.addresses {
+			covered[address] = true
 		}
 	}
 	var uncovered []foxtailstack.Address
@@ -113,60 +157,80 @@
 	return uncovered
 }
 
-// query asks one sidecar and hands its status to OnStatus.
-func (w *Watcher) query(ctx context.Context, address foxtailstack.Address) {
-	answer, err := w.fetchStatus(ctx, address)
+// errNoStatus means that a sidecar has no recent status.
+var errNoStatus = errors.New("sidecar has no recent status of its group")
+
+// run asks one sidecar and hands its status to OnStatus.
+func (w *Watcher) run(ctx context.Context, query statusQuery) {
+	answer, err := w.fetchStatus(ctx, query)
+	if err == nil && answer.Status == nil {
+		err = errNoStatus
+	}
 	if err != nil {
-		w.recordFailure(address, err)
+		w.recordFailure(query, err)
 		return
 	}
-	w.recordReply(address, answer)
-	if answer.Status != nil {
-		w.OnStatus(*answer.Status)
+	status, ok := w.recordStatus(query, answer.Status)
+	if ok {
+		w.OnStatus(status)
 	}
 }
 
-// recordReply updates the known planners from the reply of a sidecar.
-func (w *Watcher) recordReply(address foxtailstack.Address, answer statusReply) {
+// recordStatus updates the known groups from the status that a sidecar has sent, and
+// returns it. It returns false if its table of ranks is not known; the next query then
+// asks for that.
+func (w *Watcher) recordStatus(query statusQuery, message *statusMessage) (Status, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.planners == nil {
-		w.planners = make(map[foxtailstack.Address][]RankStatus)
-	}
-	if answer.Status == nil {
-		delete(w.planners, address)
-		_, known := w.planners[answer.Planner]
-		if answer.Planner != "" && answer.Planner != address && !known {
-			w.planners[answer.Planner] = nil
+	group, known := w.groups[message.Group]
+	if !known {
+		group = &watchedGroup{}
+		if w.groups == nil {
+			w.groups = make(map[Name]*watchedGroup)
 		}
-		return
+		w.groups[message.Group] = group
+	}
+	if message.Addresses != nil {
+		group.table = message.Table
+		group.addresses = message.Addresses
+	}
+	if group.sidecar == "" {
+		group.sidecar = query.sidecar
+	}
+	status, ok := message.status(group.addresses)
+	if !ok || group.table != message.Table {
+		group.table = 0
+		return Status{}, false
 	}
-	w.planners[address] = answer.Status.Ranks
 	if w.statusLost {
 		w.statusLost = false
-		w.Log.Info("group status regained", zap.String("sidecar", string(address)))
+		w.Log.Info("group status regained", zap.String("sidecar", string(query.sidecar)))
 	}
+	return status, true
 }
 
-// recordFailure removes a sidecar that did not answer from the known planners,
+// recordFailure lets the next query for the status of the group go to another sidecar,
 // and logs the loss of the status, once until a status arrives.
-func (w *Watcher) recordFailure(address foxtailstack.Address, err error) {
+func (w *Watcher) recordFailure(query statusQuery, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	_, planned := w.planners[address]
-	delete(w.planners, address)
-	if w.statusLost || !planned && len(w.planners) > 0 {
+	group, known := w.groups[query.group]
+	if known && group.sidecar == query.sidecar {
+		group.sidecar = ""
+	}
+	if w.statusLost || !known && len(w.groups) > 0 {
 		return
 	}
 	w.statusLost = true
-	w.Log.Info("group status lost", zap.String("sidecar", string(address)), zap.Error(err))
+	w.Log.Info("group status lost", zap.String("sidecar", string(query.sidecar)), zap.Error(err))
 }
 
 // fetchStatus asks one sidecar for its status.
-func (w *Watcher) fetchStatus(ctx context.Context, address foxtailstack.Address) (statusReply, error) {
+func (w *Watcher) fetchStatus(ctx context.Context, query statusQuery) (statusReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(address)+pathStatus, nil)
+	url := fmt.Sprintf("http://%s%s?%s=%x", query.sidecar, pathStatus, paramTable, uint64(query.table))
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return statusReply{}, fmt.Errorf("create status request: %w", err)
 	}
@@ -175,6 +239,10 @@
 		return statusReply{}, fmt.Errorf("%w: %w", errUnreachable, err)
 	}
 	defer response.Body.Close()
+	err = errorForStatus(response.StatusCode)
+	if err != nil {
+		return statusReply{}, err
+	}
 	var answer statusReply
 	err = decode(response.Body, &answer)
 	if err != nil {
--- a/group/watcher_test.go
+++ b/group/watcher_test.go
@@ -1,7 +1,6 @@
 package group
 
 import (
-	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -9,41 +8,48 @@
 	"testing"
 	"time"
 
+	"github.com/alexedwards/flow"
 	"github.com/foxtailstack/foxtailstack"
 	"go.uber.org/zap"
 )
 
-// An entry must find the planners of all groups behind a service, whichever
-// sidecars they run beside, and continue with the others after one has gone.
-func TestWatcherFindsAllPlanners(t *testing.T) {
+// newHandler returns the handler of a sidecar.
+func newHandler(sidecar *Sidecar) http.Handler {
+	mux := flow.New()
+	sidecar.Register(mux.HandleFunc)
+	return mux
+}
+
+// Guards against entries that miss a group behind a service, or lose one whose sidecar
+// they ask: the others know its status too.
+func TestWatcherFindsAllGroups(t *testing.T) {
 	const groups, ranks = 3, 4
 	var mu sync.Mutex
 	received := make(map[Name]int)
 	var endpoints []RankEndpoints
-	var planners []*httptest.Server
+	servers := make(map[foxtailstack.Address]*httptest.Server)
 	for g := range groups {
-		name := Name("g" + string(rune('0'+g)))
-		status := &Status{Group: name}
+		status := &Status{Group: Name("g" + string(rune('0'+g)))}
 		var sidecars []*Sidecar
 		for r := range ranks {
 			sidecar := &Sidecar{Log: zap.NewNop()}
-			server := httptest.NewServer(sidecar.Handler())
+			server := httptest.NewServer(newHandler(sidecar))
 			t.Cleanup(server.Close)
-			upstream := foxtailstack.Address(string(name) + string(rune('a'+r)))
+			upstream := foxtailstack.Address(string(status.Group) + string(rune('a'+r)))
+			address := foxtailstack.Address(strings.TrimPrefix(server.URL, "http://"))
+			servers[address] = server
 			endpoints = append(endpoints, RankEndpoints{
 				Upstream: upstream,
-				Sidecar:  foxtailstack.Address(strings.TrimPrefix(server.URL, "http://")),
+				Sidecar:  address,
 			})
 			status.Ranks = append(status.Ranks, RankStatus{Address: upstream})
 			sidecars = append(sidecars, sidecar)
-			if r == 0 {
-				planners = append(planners, server)
-			}
 		}
 		for _, sidecar := range sidecars {
-			sidecar.planner.Address = foxtailstack.Address(strings.TrimPrefix(planners[g].URL, "http://"))
+			if !sidecar.learnStatus(newStatusMessage(status)) {
+				t.Fatal("a status with its table of ranks is not understood")
+			}
 		}
-		sidecars[0].publish(status)
 	}
 	w := &Watcher{
 		Client:    http.DefaultClient,
@@ -55,24 +61,72 @@
 		},
 		Log: zap.NewNop(),
 	}
-	for range 40 {
-		for _, address := range w.nextSidecars() {
-			w.query(t.Context(), address)
+	poll := func(rounds int) {
+		clear(received)
+		for range rounds {
+			for _, query := range w.nextQueries() {
+				w.run(t.Context(), query)
+			}
 		}
 	}
+	poll(40)
 	if len(received) != groups {
 		t.Errorf("got status of groups %v, want of %d groups", received, groups)
 	}
-	planners[0].Close()
-	clear(received)
-	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-	defer cancel()
-	for range 10 {
-		for _, address := range w.nextSidecars() {
-			w.query(ctx, address)
+	servers[w.groups["g0"].sidecar].Close()
+	poll(10)
+	for _, name := range []Name{"g0", "g1", "g2"} {
+		if received[name] < 3 {
+			t.Errorf("got statuses %v after a sidecar had gone, want at least 3 of each group", received)
+			break
+		}
+	}
+}
+
+// Guards against an entry that stays with a sidecar whose status is old, such as one that
+// the planner cannot reach.
+func TestWatcherLeavesSidecarWithoutStatus(t *testing.T) {
+	status := &Status{
+		Group: "g",
+		Ranks: []RankStatus{{Address: "cut"}, {Address: "well"}},
+	}
+	var endpoints []RankEndpoints
+	for _, rank := range status.Ranks {
+		sidecar := &Sidecar{Log: zap.NewNop()}
+		message := newStatusMessage(status)
+		if rank.Address == "cut" {
+			message.Age = maxStatusAge - 50*time.Millisecond
+		}
+		sidecar.learnStatus(message)
+		server := httptest.NewServer(newHandler(sidecar))
+		t.Cleanup(server.Close)
+		endpoints = append(endpoints, RankEndpoints{
+			Upstream: rank.Address,
+			Sidecar:  foxtailstack.Address(strings.TrimPrefix(server.URL, "http://")),
+		})
+	}
+	received := 0
+	w := &Watcher{
+		Client:    http.DefaultClient,
+		Endpoints: func() []RankEndpoints { return endpoints },
+		OnStatus:  func(Status) { received++ },
+		Log:       zap.NewNop(),
+	}
+	for range 2 * roundsPerSearch {
+		for _, query := range w.nextQueries() {
+			query.sidecar = endpoints[0].Sidecar
+			w.run(t.Context(), query)
+		}
+	}
+	time.Sleep(60 * time.Millisecond)
+	received = 0
+	for range 20 {
+		for _, query := range w.nextQueries() {
+			w.run(t.Context(), query)
 		}
 	}
-	if received["g1"] < 3 || received["g2"] < 3 {
-		t.Errorf("got statuses %v after one planner had gone, want at least 3 of each of the two others", received)
+	if received < 10 || w.groups["g"].sidecar != endpoints[1].Sidecar {
+		t.Errorf("%d statuses in 20 rounds, the last from %s, want at least 10 and %s",
+			received, w.groups["g"].sidecar, endpoints[1].Sidecar)
 	}
 }
--- a/machine/sidecar.go
+++ b/machine/sidecar.go
@@ -83,8 +83,10 @@
 // error after ctx is done.
 func (s *Sidecar) Run(ctx context.Context) error {
 	s.log.Info("sidecar started", zap.String("upstream", string(s.settings.UpstreamAddress)))
+	peers := flow.New()
+	s.group.Register(peers.HandleFunc)
 	server := &http.Server{
-		Handler:           s.group.Handler(),
+		Handler:           peers,
 		ReadHeaderTimeout: headerTimeout,
 		// Longer than peerIdleTimeout, so that the client closes idle connections first.
 		IdleTimeout: 2 * peerIdleTimeout,
