Share crashes over a sidecar's board while the store is away

Cause: entries shared what they know of a crash through the store only. With the store away each found the part out by itself, at a rank each.

Now a sidecar keeps a board in memory, package board: rows with a long poll. All entries use the first sidecar by address that answers them. Rows wait in an outbox for each of both places, which is taken out of quarantine.Table so that its logic stands once. An entry writes what it knows to a board that it reads for the first time; so a sidecar or a planner may go. The planner's surveys were weighed as a way and not taken: no planner can be elected while the store is away, and a status takes up to 0.5 s.

The test now has a sidecar, as each deployment has, and the same bounds. What remains: entries of which some reach the first sidecar and some do not are on two boards until the store is back.

--- a/machine/crash_test.go
+++ b/machine/crash_test.go
@@ -54,6 +54,8 @@
 	log     *standin.CrashLog
 	entries []*Entry
 	stops   []context.CancelFunc
+	// peerPort is the port of the sidecars.
+	peerPort int
 }
 
 // newStore starts the store. There are no workers and no entries yet.
@@ -116,6 +118,7 @@
 		CallerAddress:    "127.0.0.1:0",
 		ReadinessAddress: "127.0.0.1:0",
 		StoreURL:         s.url,
+		PeerPort:         s.peerPort,
 		Bounds: platform.Bounds{
 			GracePeriod: time.Second,
 			RetryRatio:  0.2,
--- a/machine/deadlypart_test.go
+++ b/machine/deadlypart_test.go
@@ -4,14 +4,17 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/foxtailstack/foxtailstack/platform"
 	"github.com/foxtailstack/foxtailstack/platform/standin"
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
 )
 
 const (
@@ -72,10 +75,50 @@
 	if err != nil {
 		t.Fatal("start group:", err)
 	}
+	s.startSidecar(t)
 	s.startEntries(t)
 	return s
 }
 
+// startSidecar starts a sidecar. All ranks have the same host, so that it is beside each.
+func (s *partSystem) startSidecar(t *testing.T) {
+	t.Helper()
+	s.peerPort = freePort(t)
+	sidecar, err := NewSidecar(platform.Settings{
+		Name:            "sidecar",
+		IP:              "127.0.0.1",
+		UpstreamAddress: "127.0.0.1:1",
+		Service:         "models",
+		StoreURL:        s.url,
+		PeerPort:        s.peerPort,
+		MetricsPort:     freePort(t),
+	}, zap.NewNop())
+	if err != nil {
+		t.Fatal("new sidecar:", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		_ = sidecar.Run(ctx) // ends with the test
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// freePort returns a port that was free a moment ago.
+func freePort(t *testing.T) int {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal("find a free port:", err)
+	}
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
 // stream sends a request for a stream to an entry. It reports whether the whole stream
 // arrived. A caller that is refused comes back once, if it has the time.
 func (s *partSystem) stream(entry int, id, parts string) bool {
--- a/machine/entry.go
+++ b/machine/entry.go
@@ -6,12 +6,14 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/alexedwards/flow"
 	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/board"
 	"github.com/foxtailstack/foxtailstack/dispatch"
 	"github.com/foxtailstack/foxtailstack/exchange"
 	"github.com/foxtailstack/foxtailstack/gateway"
@@ -40,6 +42,10 @@
 	// crashChangePause is the pause after changes to them: all entries that had requests
 	// at an upstream record its crash.
 	crashChangePause = 20 * time.Millisecond
+	// boardPollTimeout is the long-poll timeout for the crashes on the board of a sidecar.
+	boardPollTimeout = 10 * time.Second
+	// boardTable is the name by which the log calls that board.
+	boardTable = "board"
 	// drainDelay is the longest time that an entry still accepts connections after the
 	// request to stop, so that the platform can see that it is not ready and stop sending
 	// callers. The time is half the grace period if that is shorter.
@@ -72,6 +78,7 @@
 	scheduler         *dispatch.Scheduler
 	pool              *exchange.Pool
 	crashes           *quarantine.Table
+	board             *board.Client
 	gateway           *gateway.Gateway
 	callerListener    net.Listener
 	readinessListener net.Listener
@@ -92,7 +99,13 @@
 		Fleet: e.view.Fleet,
 		Log:   log,
 	}
+	e.board = &board.Client{
+		HTTP:     newPeerClient(),
+		Sidecars: e.groupSidecars,
+		Log:      log,
+	}
 	e.crashes = &quarantine.Table{
+		Board:     e.board,
 		List:      &quarantine.List{},
 		Writer:    e.store,
 		Name:      platform.TableCrashes,
@@ -239,9 +252,20 @@
 		Now:             clock.Boot,
 		Log:             e.log,
 	}
+	boardFollower := &watch.Follower{
+		Feed:            e.board,
+		Table:           boardTable,
+		LongPollTimeout: boardPollTimeout,
+		ChangePause:     crashChangePause,
+		Replace:         e.crashes.BoardReplaced,
+		Update:          e.crashes.BoardChanged,
+		Now:             clock.Boot,
+		Log:             zap.NewNop(), // the client logs whether it reaches a board
+	}
 	go configFollower.Run(ctx)
 	go fleetFollower.Run(ctx)
 	go crashFollower.Run(ctx)
+	go boardFollower.Run(ctx)
 	go e.crashes.Run(ctx)
 }
 
@@ -288,6 +312,27 @@
 	return endpoints
 }
 
+// groupSidecars returns the addresses of the sidecars beside the upstreams of all services
+// with a model group, in ascending order.
+func (e *Entry) groupSidecars() []foxtailstack.Address {
+	cfg := e.view.Config()
+	fleet := e.view.Fleet()
+	if cfg == nil || fleet == nil {
+		return nil
+	}
+	var sidecars []foxtailstack.Address
+	for name, service := range cfg.Services {
+		if service.Group == nil {
+			continue
+		}
+		for _, endpoint := range e.rankEndpoints(name) {
+			sidecars = append(sidecars, endpoint.Sidecar)
+		}
+	}
+	slices.Sort(sidecars)
+	return slices.Compact(sidecars)
+}
+
 // observeGroup passes the load and the slowdown of each rank in the status of a group,
 // and the age of the status, on to the scheduler.
 func (e *Entry) observeGroup(service foxtailstack.ServiceName, status group.Status) {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -13,21 +12,12 @@
 )
 
 const (
-	// minBackoff and maxBackoff bound the backoff after a failed write.
-	minBackoff = 50 * time.Millisecond
-	maxBackoff = time.Second
-	// clearDelay is how long the removal of the rows of cleared suspects may wait for
-	// others, so that one write serves many. A crash is written at once.
-	clearDelay = 500 * time.Millisecond
 	// sweepInterval is the mean time between two removals of expired rows. Each entry
 	// draws its own times, so that one of them mostly removes the rows for all.
 	sweepInterval = time.Minute
 	// rewriteSpread is the time over which the entries write rows again that the store has
 	// lost. Each draws its own moment, so that one of them mostly writes them for all.
 	rewriteSpread = time.Second
-	// maxPending is the number of rows that wait to be written or removed. Further ones
-	// are not shared.
-	maxPending = 1 << 12
 )
 
 // Table shares the crashes that a List records with other entries, as rows of a table
@@ -39,8 +29,11 @@
 	// Writer and Name are the store and the table.
 	Writer foxtailstack.RecordWriter
 	Name   string
-	// MaxWrites is the number of rows that Writer takes in one call.
+	// MaxWrites is the number of rows that Writer and Board take in one call.
 	MaxWrites int
+	// Board, unless it is nil, is a second place for the rows, for the time in which the
+	// store is away. Its rows are received with BoardReplaced and BoardChanged.
+	Board foxtailstack.RecordWriter
 	// Instance is the name of this entry. It stands in the rows for diagnosis.
 	Instance foxtailstack.InstanceName
 	Log      *zap.Logger
@@ -50,10 +43,9 @@
 	rows map[string]struct{}
 	// era is that of the store when the table was read last.
 	era uint64
-	// pending holds the rows to write, with true, and to remove, with false.
-	pending map[string]bool
-	// wake gets a value when rows become pending. It is nil before Run is called.
-	wake chan struct{}
+	// toStore and toBoard hold the rows that are to be written to Writer and Board.
+	toStore outbox
+	toBoard outbox
 }
 
 // Report records crashes and shares them.
@@ -111,25 +103,20 @@
 		c.Kind = kind
 		row := rowName(c)
 		_, known := t.rows[row]
-		_, pending := t.pending[row]
+		pending, _ := t.toStore.state(row)
 		if known || pending {
 			t.setPending(row, false)
 		}
 	}
 }
 
-// setPending lets Run write or remove a row. The caller holds mu.
+// setPending lets Run write or remove a row.
 func (t *Table) setPending(row string, write bool) {
-	if t.Writer == nil || len(t.pending) >= maxPending {
-		return
-	}
-	if t.pending == nil {
-		t.pending = make(map[string]bool)
+	if t.Writer != nil {
+		t.toStore.add(row, write)
 	}
-	t.pending[row] = write
-	select {
-	case t.wake <- struct{}{}:
-	default:
+	if t.Board != nil {
+		t.toBoard.add(row, write)
 	}
 }
 
@@ -149,8 +136,9 @@
 	var lost []string
 	for row := range gone {
 		_, kept := t.rows[row]
+		_, pending := t.toStore.state(row)
 		switch {
-		case kept || t.pending[row]:
+		case kept || pending:
 		case restored:
 			lost = append(lost, row)
 		default:
@@ -196,26 +184,66 @@
 			t.forget(record.Name)
 			continue
 		}
-		c, err := parseRowName(record.Name)
-		if err != nil {
-			t.Log.Warn("row skipped", zap.String("kind", "crash"), zap.String("row", record.Name), zap.Error(err))
-			continue
+		if t.learn(record) {
+			t.rows[record.Name] = struct{}{}
 		}
-		t.rows[record.Name] = struct{}{}
-		if t.List.ServedRecently(c) {
-			t.setPending(record.Name, false)
-			continue
+	}
+}
+
+// learn records the crash of a row. It lets Run remove the row if it is of a request that
+// has run to its end here recently. It returns false if the row names no crash. The caller
+// holds mu.
+func (t *Table) learn(record foxtailstack.Record) bool {
+	c, err := parseRowName(record.Name)
+	if err != nil {
+		t.Log.Warn("row skipped", zap.String("kind", "crash"), zap.String("row", record.Name), zap.Error(err))
+		return false
+	}
+	if t.List.ServedRecently(c) {
+		t.setPending(record.Name, false)
+		return true
+	}
+	if c.Kind.has(KindStarted) && t.List.Known(c.Fingerprint) {
+		t.setPending(record.Name, false)
+		c.Kind = c.Kind.withoutStarted()
+		t.setPending(rowName(c), true)
+	}
+	n := t.List.Add(c)
+	if n > 0 {
+		t.logCrash("crash learnt", c, n, foxtailstack.InstanceName(record.Value))
+	}
+	return true
+}
+
+// BoardChanged receives the rows of the board that changed.
+func (t *Table) BoardChanged(records []foxtailstack.Record, _ foxtailstack.StoreVersion) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, record := range records {
+		_, inStore := t.rows[record.Name]
+		if record.Deleted && !inStore {
+			t.forget(record.Name)
 		}
-		if c.Kind.has(KindStarted) && t.List.Known(c.Fingerprint) {
-			t.setPending(record.Name, false)
-			c.Kind = c.Kind.withoutStarted()
-			t.setPending(rowName(c), true)
+		if !record.Deleted {
+			t.learn(record)
 		}
-		n := t.List.Add(c)
-		if n > 0 {
-			t.logCrash("crash learnt", c, n, foxtailstack.InstanceName(record.Value))
+	}
+}
+
+// BoardReplaced receives all rows of a board that is read for the first time. Crashes that
+// are recorded here and not on the board are written to it.
+func (t *Table) BoardReplaced(records []foxtailstack.Record, version foxtailstack.StoreVersion) {
+	present := make(map[string]bool, len(records))
+	for _, record := range records {
+		present[record.Name] = true
+	}
+	for _, c := range t.List.All() {
+		row := rowName(c)
+		if !present[row] {
+			t.toBoard.add(row, true)
 		}
 	}
+	t.BoardChanged(records, version)
 }
 
 // forget removes the crash of a row from the List, or what only that row says of its kind
@@ -244,117 +272,32 @@
 		c.Kind = kind
 		row := rowName(c)
 		_, present := t.rows[row]
-		if present || t.pending[row] {
+		_, pending := t.toStore.state(row)
+		if present || pending {
 			found |= kind
 		}
 	}
 	return found
 }
 
-// Run writes pending rows until ctx is done. After a failure it repeats the write with
-// backoff. It also removes the rows of records that have expired.
+// Run writes pending rows until ctx is done, and removes the rows of records that have
+// expired.
 func (t *Table) Run(ctx context.Context) {
-	wake := make(chan struct{}, 1)
-	t.mu.Lock()
-	t.wake = wake
-	t.mu.Unlock()
-	sweep := time.NewTimer(sweepInterval/2 + rand.N(sweepInterval))
-	defer sweep.Stop()
-	backoff := minBackoff
-	for ctx.Err() == nil {
-		if !t.hasPending() {
-			select {
-			case <-ctx.Done():
-			case <-wake:
-			case <-sweep.C:
-				t.sweep()
-				sweep.Reset(sweepInterval/2 + rand.N(sweepInterval))
-			}
-			continue
-		}
-		t.awaitCrash(ctx, wake)
-		err := t.writePending(ctx)
-		if err == nil {
-			backoff = minBackoff
-			continue
-		}
-		_ = clock.Sleep(ctx, backoff/2+rand.N(backoff)) // ctx is checked next
-		backoff = min(2*backoff, maxBackoff)
-	}
-}
-
-// hasPending reports whether rows are pending.
-func (t *Table) hasPending() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.pending) > 0
-}
-
-// awaitCrash waits until a crash is to be written, or for clearDelay.
-func (t *Table) awaitCrash(ctx context.Context, wake <-chan struct{}) {
-	timer := time.NewTimer(clearDelay)
-	defer timer.Stop()
-	for !t.crashPending() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-			return
-		case <-wake:
-		}
-	}
-}
-
-// crashPending reports whether a crash is to be written.
-func (t *Table) crashPending() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, write := range t.pending {
-		if write {
-			return true
-		}
+	to := delivery{
+		writer:    t.Writer,
+		table:     t.Name,
+		maxWrites: t.MaxWrites,
+		value:     []byte(t.Instance),
+		log:       t.Log,
 	}
-	return false
-}
-
-// writePending writes and removes up to MaxWrites pending rows. Rows stay pending if the
-// store did not take them, unless it refuses such a write.
-func (t *Table) writePending(ctx context.Context) error {
-	batch := make(map[string]bool)
-	var records []foxtailstack.Record
-	var remove []string
-	t.mu.Lock()
-	for row, write := range t.pending {
-		if len(batch) >= t.MaxWrites {
-			break
-		}
-		batch[row] = write
-		if !write {
-			remove = append(remove, row)
-			continue
-		}
-		records = append(records, foxtailstack.Record{
-			Name:  row,
-			Value: []byte(t.Instance),
-		})
+	go t.toStore.run(ctx, to)
+	if t.Board != nil {
+		to.writer = t.Board
+		go t.toBoard.run(ctx, to)
 	}
-	t.mu.Unlock()
-	err := t.Writer.Write(ctx, t.Name, records, remove)
-	if errors.Is(err, foxtailstack.ErrUnavailable) || errors.Is(err, foxtailstack.ErrUncertain) {
-		t.Log.Debug("crashes not written yet", zap.Int("rows", len(batch)), zap.Error(err))
-		return err
-	}
-	if err != nil {
-		t.Log.Warn("crashes not written", zap.Int("rows", len(batch)), zap.Error(err))
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for row, write := range batch {
-		if t.pending[row] == write {
-			delete(t.pending, row)
-		}
+	for clock.Sleep(ctx, sweepInterval/2+rand.N(sweepInterval)) == nil {
+		t.sweep()
 	}
-	return nil
 }
 
 // sweep lets Run remove the rows of crashes that the List no longer holds.
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -354,3 +354,54 @@
 		t.Errorf("admissions left (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against crashes that only the entry that found them knows while the store is away:
+// they pass over the board, also to one that is read later, and so does their removal.
+func TestTableSharesCrashesOverBoard(t *testing.T) {
+	finder, other := newBoardTable(t), newBoardTable(t)
+	crash := Crash{
+		Fingerprint: Fingerprint{7},
+		Kind:        KindRequest,
+		ID:          "u@1",
+		Upstream:    "u",
+	}
+	finder.Report([]Crash{crash})
+	row := foxtailstack.Record{Name: rowName(crash)}
+	other.BoardChanged([]foxtailstack.Record{row}, 1)
+	if !other.List.Has(crash) {
+		t.Error("a crash on the board is not recorded")
+	}
+	other.toBoard = outbox{}
+	other.BoardReplaced(nil, 1)
+	if _, write := other.toBoard.state(row.Name); !write {
+		t.Error("a crash that an empty board lacks is not written to it")
+	}
+	row.Deleted = true
+	other.BoardChanged([]foxtailstack.Record{row}, 2)
+	if other.List.Has(crash) {
+		t.Error("a crash that was removed from the board is still recorded")
+	}
+	other.Update([]foxtailstack.Record{{Name: row.Name}}, 3)
+	other.BoardChanged([]foxtailstack.Record{row}, 4)
+	if !other.List.Has(crash) {
+		t.Error("a crash that the store holds was removed with its row on the board")
+	}
+}
+
+// noWriter takes no rows.
+type noWriter struct{}
+
+func (noWriter) Write(context.Context, string, []foxtailstack.Record, []string) error {
+	return foxtailstack.ErrUnavailable
+}
+
+// newBoardTable returns a table with a store and a board that take no rows.
+func newBoardTable(t *testing.T) *Table {
+	t.Helper()
+	return &Table{
+		List:   &List{},
+		Writer: noWriter{},
+		Board:  noWriter{},
+		Log:    zap.NewNop(),
+	}
+}
