Let one call to the store bring the upstreams of a starting fleet

Cause, from counts of calls by table in a trial: each of 134 upstreams that register within four seconds wakes the long polls of 53 entries by itself, some 7,000 calls; polls of 1.5, 2.5 and 5 s are the rest.

Now an entry, and the sidecar that plans, pauses after a response that brought changes of the list of upstreams, for an eighth of the drain time of the settings (0.25 s, 0.5 s at the large site). A first change is still seen at once. The long poll of the list takes three quarters of the contact time in place of 2.5 s: a connection that silently died must show within that time (with the 1.2 s that a call may take). The poll for crashes takes 20 s, since those that matter at once come over the board too. The configuration has no pause, so that withdrawn keys, new routes and removed ones are as quick as before.

--- a/machine/entry.go
+++ b/machine/entry.go
@@ -34,11 +34,17 @@
 	// time. Three ensure two confirmations within it: the third covers the latency of
 	// the calls and a key that is removed just after a poll started.
 	pollsPerRevocation = 3
-	// fleetPollTimeout is the long-poll timeout for the list of upstreams.
-	fleetPollTimeout = 2500 * time.Millisecond
-	// crashPollTimeout is the long-poll timeout for the crashes that entries share. A
-	// connection that silently stopped working shows after it.
-	crashPollTimeout = 5 * time.Second
+	// fleetPollFraction of the contact time is the long-poll timeout for the list of
+	// upstreams: a connection that silently stopped working shows after it, which should
+	// be within that time. defaultFleetPollTimeout is used if that time is not set.
+	fleetPollFraction       = 0.75
+	defaultFleetPollTimeout = 2500 * time.Millisecond
+	// fleetPauseFraction of the drain time is the pause after changes to the list of
+	// upstreams, so that one call brings those of many that start or leave together.
+	fleetPauseFraction = 0.125
+	// crashPollTimeout is the long-poll timeout for the crashes in the store. Those that
+	// matter at once come over the board as well.
+	crashPollTimeout = 20 * time.Second
 	// crashChangePause is the pause after changes to them: all entries that had requests
 	// at an upstream record its crash.
 	crashChangePause = 20 * time.Millisecond
@@ -236,7 +242,8 @@
 	fleetFollower := &watch.Follower{
 		Feed:            e.store,
 		Table:           platform.TableUpstreams,
-		LongPollTimeout: fleetPollTimeout,
+		LongPollTimeout: fleetPollTimeout(e.settings.Bounds),
+		ChangePause:     fleetChangePause(e.settings.Bounds),
 		Replace:         e.view.ReplaceFleet,
 		Update:          e.view.UpdateFleet,
 		Now:             clock.Boot,
@@ -359,6 +366,19 @@
 	return min(maxConfigPollTimeout, revocation/pollsPerRevocation)
 }
 
+// fleetPollTimeout returns the long-poll timeout for the list of upstreams.
+func fleetPollTimeout(bounds platform.Bounds) time.Duration {
+	if bounds.ContactTime == 0 {
+		return defaultFleetPollTimeout
+	}
+	return time.Duration(fleetPollFraction * float64(bounds.ContactTime))
+}
+
+// fleetChangePause returns the pause after changes to the list of upstreams.
+func fleetChangePause(bounds platform.Bounds) time.Duration {
+	return time.Duration(fleetPauseFraction * float64(bounds.DrainTime))
+}
+
 // statusHandler returns the handler for the platform's readiness checks and for the
 // metrics. It also registers the Entry's gauges, which belong to the process: with a
 // second Entry in the process the gauges of the first one stay.
--- a/machine/entry_test.go
+++ b/machine/entry_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/foxtailstack/foxtailstack/platform"
 )
 
 // The long-poll timeout of the configuration is a third of a short key revocation time
@@ -30,3 +32,29 @@
 		}
 	}
 }
+
+// Guards against feeds that stay silent for longer than the contact time, and against
+// pauses in which an upstream that leaves is still used at its end. Small and large
+// fleets have different times.
+func TestFleetFeedFollowsBounds(t *testing.T) {
+	for _, bounds := range []platform.Bounds{
+		{
+			ContactTime: 3 * time.Second,
+			DrainTime:   2 * time.Second,
+		},
+		{
+			ContactTime: 5 * time.Second,
+			DrainTime:   4 * time.Second,
+		},
+	} {
+		if got := fleetPollTimeout(bounds); got >= bounds.ContactTime {
+			t.Errorf("got a poll timeout of %s for a contact time of %s, want less", got, bounds.ContactTime)
+		}
+		if got := fleetChangePause(bounds); got <= 0 || got > bounds.DrainTime/4 {
+			t.Errorf("got a pause of %s for a drain time of %s, want some and at most a quarter", got, bounds.DrainTime)
+		}
+	}
+	if got := fleetPollTimeout(platform.Bounds{}); got != defaultFleetPollTimeout {
+		t.Errorf("got a poll timeout of %s without a contact time, want %s", got, defaultFleetPollTimeout)
+	}
+}
--- a/machine/sidecar.go
+++ b/machine/sidecar.go
@@ -141,6 +141,7 @@
 		Feed:            s.store,
 		Table:           platform.TableUpstreams,
 		LongPollTimeout: sidecarPollTimeout,
+		ChangePause:     fleetChangePause(s.settings.Bounds),
 		Replace:         s.replaceFleet(ctx),
 		Update:          s.view.UpdateFleet,
 		Now:             clock.Boot,
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -239,6 +240,51 @@
 	})
 }
 
+// Guards against a call to the store for each of the upstreams of a large fleet that start
+// together, at each entry: 129 of them within four seconds.
+func TestFollowerOfStartingFleetMakesFewCalls(t *testing.T) {
+	const (
+		upstreams   = 129
+		startTime   = 4 * time.Second
+		changePause = 500 * time.Millisecond
+		maxCalls    = int(startTime/changePause) + 3
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &fakeFeed{}
+		f.put("first", "1")
+		updates, rows := 0, 0
+		follower := &watch.Follower{
+			Feed:            f,
+			LongPollTimeout: time.Minute,
+			ChangePause:     changePause,
+			Replace:         func([]foxtailstack.Record, foxtailstack.StoreVersion) {},
+			Update: func(records []foxtailstack.Record, _ foxtailstack.StoreVersion) {
+				updates++
+				rows += len(records)
+			},
+			Now: func() time.Duration { return 0 },
+			Log: zap.NewNop(),
+		}
+		go follower.Run(ctx)
+		time.Sleep(time.Second)
+		for i := range upstreams {
+			f.put(fmt.Sprintf("upstream-%d", i), "1")
+			time.Sleep(startTime / upstreams)
+		}
+		time.Sleep(2 * changePause)
+		cancel()
+		time.Sleep(time.Minute) // lets the goroutine of the Follower end before the bubble does
+		synctest.Wait()
+		if rows != upstreams {
+			t.Errorf("got %d rows, want %d", rows, upstreams)
+		}
+		if updates > maxCalls {
+			t.Errorf("got %d responses with changes, want at most %d", updates, maxCalls)
+		}
+	})
+}
+
 // During an outage a Follower backs off and makes at most a few calls a second.
 func TestFollowerPausesInOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
