Use fewer slots of each rank where passes after a shift are too long

Cause, from the logs: passes took 0.16 to 0.21 s for the half second after each shift until the map follows, and 0.08 to 0.1 s otherwise. A stream lasts 2.3 s, so that nearly every one met such passes. What makes them long is that ranks are full: each request at a rank costs 5.45 ms a pass, and the more so the greater the skew. Longer passes let streams run longer, which fills the ranks.

Now package dispatch learns what a request at each rank adds to a pass (the longest but a few of the last 64), and uses only as many slots as keep passes within nine tenths of the allowed gap, two fifths of them at least. The rest waits at the entries, newest first, where it can still be on time. The limit is no whole number; a phase of each rank rounds it up or down, the same at all entries. Nothing is limited while passes are short, or ranks less than two fifths full.

--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -53,8 +53,11 @@
 	ready := s.Fleet().Ready(service)
 	silent := s.silentRanks(ready, group, ranks)
 	fewSilent := len(silent) <= len(ready)/maxSilentDivisor
-	ownShare := s.queue(service).loadShare(group)
-	ownShare.observe(s.countRequests(ready, ranks, observedAt))
+	q := s.queue(service)
+	ownShare := q.loadShare(group)
+	own, all := s.countRequests(ready, ranks, observedAt)
+	ownShare.observe(own, all)
+	q.slotLimit.observeRunning(float64(all) / float64(max(1, len(ranks))))
 	fewSlow := countSlow(ranks) <= len(ranks)/maxSlowDivisor
 	divider := newSlotDivider(ownShare.allowance())
 	order := newRandomOrder(len(ready))
@@ -76,7 +79,7 @@
 			slowUntil = now.Add(loadTTL)
 		}
 		s.setSlow(&u, slowUntil, age)
-		state.slots = u.Slots
+		state.slots = q.usableSlots(&u, state, true)
 		state.observeLoad(&rank.Load, observedAt, divider)
 	}
 }
@@ -165,7 +168,10 @@
 func (s *Scheduler) ObserveEventGap(service foxtailstack.ServiceName, gap time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.queue(service).passEstimator.observeGap(time.Now(), gap)
+	q := s.queue(service)
+	if q.passEstimator.observeGap(time.Now(), gap) {
+		q.slotLimit.observePass(gap, q.maxSlots)
+	}
 }
 
 // PassCount returns the number of passes of the groups behind a service that this
--- a/dispatch/passestimator.go
+++ b/dispatch/passestimator.go
@@ -29,10 +29,11 @@
 }
 
 // observeGap records that an event came in now, and the gap between it and the event
-// before it in its stream.
-func (e *passEstimator) observeGap(now time.Time, gap time.Duration) {
+// before it in its stream. It returns false if the event is taken for another stream's
+// event of a pass that is known already.
+func (e *passEstimator) observeGap(now time.Time, gap time.Duration) bool {
 	if now.Sub(e.lastPassAt) < samePassTime {
-		return // taken for another stream's event of the same pass
+		return false
 	}
 	e.lastPassAt = now
 	e.count++
@@ -40,6 +41,7 @@
 	if len(e.gaps) > passSamples {
 		e.gaps = e.gaps[1:]
 	}
+	return true
 }
 
 // passTime returns the median of the last gaps, or zero if it is not known. The median
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -43,7 +43,7 @@
 		if request.Suspect && state.suspects > 0 || now.Before(state.pausedUntil) {
 			continue
 		}
-		state.slots = u.Slots
+		state.slots = q.usableSlots(u, state, request.Grouped)
 		if request.Grouped && !state.accepts(late, now) {
 			continue
 		}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -39,7 +39,8 @@
 	if best == nil {
 		return nil
 	}
-	s.upstream(best.Name).slots = best.Slots
+	state := s.upstream(best.Name)
+	state.slots = s.queue(request.Service).usableSlots(best, state, request.Grouped)
 	return s.reserveAt(request, best, now)
 }
 
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/foxtailstack/foxtailstack/route"
 )
 
 const (
@@ -59,6 +61,9 @@
 	// wait is unknown.
 	blocked       bool
 	passEstimator passEstimator
+	slotLimit     slotLimit
+	// maxSlots is the number of slots of a rank behind the service.
+	maxSlots int
 	// timer serves the queue at timerDue; nil if none is set.
 	timer    *time.Timer
 	timerDue time.Time
@@ -152,6 +157,16 @@
 	return expired(w.request.SoftDeadline, now)
 }
 
+// usableSlots returns how many slots of an upstream with a given state are used, which are
+// all unless it is a rank of a group.
+func (q *queue) usableSlots(u *route.Upstream, state *upstreamState, grouped bool) int {
+	if !grouped {
+		return u.Slots
+	}
+	q.maxSlots = u.Slots
+	return q.slotLimit.slots(u.Slots, state.phase)
+}
+
 // breaker returns the circuit breaker of a group.
 func (q *queue) breaker(group GroupName) *circuitBreaker {
 	return getOrCreate(&q.breakers, group)
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -65,6 +65,8 @@
 	Service foxtailstack.ServiceName
 	// Grouped reports that the upstreams of the service are ranks of groups.
 	Grouped bool
+	// PassBounds is what is known of the passes of these groups; zero if nothing is.
+	PassBounds PassBounds
 	// Urgency orders queued requests of the same serving class: on time, late with a
 	// last chance, other late ones. A lower one is served first, and zero is the most
 	// urgent.
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -68,6 +68,9 @@
 		return err
 	}
 	q := s.queue(w.request.Service)
+	if w.request.Grouped {
+		q.slotLimit.bounds = w.request.PassBounds
+	}
 	wait, known := q.expectedWait(w.enqueuedAt)
 	if known && len(q.waiters) > 0 && w.unservable(w.enqueuedAt.Add(wait)) {
 		return q.overloadError(w.enqueuedAt)
@@ -165,7 +168,12 @@
 
 // upstream returns the state of an upstream. The caller holds mu.
 func (s *Scheduler) upstream(name foxtailstack.UpstreamName) *upstreamState {
-	return getOrCreate(&s.upstreams, name)
+	_, known := s.upstreams[name]
+	state := getOrCreate(&s.upstreams, name)
+	if !known {
+		state.phase = phaseOf(name)
+	}
+	return state
 }
 
 // queue returns the queue of a service. The caller holds mu.
--- a/dispatch/upstreamstate.go
+++ b/dispatch/upstreamstate.go
@@ -55,6 +55,8 @@
 	// slots is the number of requests that the upstream runs concurrently; zero if not
 	// known.
 	slots int
+	// phase is the upstream's phase for slotLimit.
+	phase float64
 	// running is the number of requests of this process at the upstream.
 	running        int
 	runningHistory valueHistory
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -223,6 +223,10 @@
 // from the start and the queue serves requests that can still be on time before it.
 func (c *call) estimateTimes(request *dispatch.Request, group *route.Group) {
 	passTime := c.gateway.Scheduler.PassTime(c.service)
+	request.PassBounds = dispatch.PassBounds{
+		Base:        time.Duration(group.TokenStepsPerPass) * group.TokenStepTime,
+		MaxEventGap: c.route.MaxEventGap,
+	}
 	request.SoftDeadline = c.arrived.Add(c.route.TargetLatency - minTimeToFirstEvent)
 	if c.route.MaxEventGap > 0 && passTime > c.route.MaxEventGap {
 		request.SoftDeadline = c.arrived
