Order again at once, and choose maps by the pass that callers will see

Cause, from the log of the parts of a switch: an order to hold or to release waited 0.15 s for its answer before it was sent again, while the pass to be held came nearer or the group stood still; an order to arm 0.04 s at the sidecar beside the rank. They answer within some ms if at all and are idempotent, so they are sent again after 25 and 15 ms, and the report decides.

Found with it: the planner took the time between two surveys for that of a pass. Surveys come each 0.06 to 0.1 s, so that passes of 0.11 s were read as 0.06 s, or as none. From that followed the lead of the held pass and the choice between an even map and one with fewer copies: by chance. Passes are measured over half a second now, and the target is chosen by the pass that is expected under the new map, from the share of the pass that the experts take.

Tests: TestUnansweredOrderDelaysNoPass (the simulated ranks now let an order without an answer wait for its timeout, as real ones do; failed with 0.15 s), TestPassMeterWithSurveysWithinPasses, TestTargetImbalanceFollowsExpectedPass, TestPlaceAllSpreadsCopies.

--- a/group/armrecord.go
+++ b/group/armrecord.go
@@ -119,7 +119,7 @@
 	if fenced {
 		return ErrFenced
 	}
-	ctx, cancel := context.WithTimeout(ctx, localOrderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, directOrderTimeout)
 	defer cancel()
 	err := s.RankAt(rankAddress).Order(ctx, order)
 	if err == nil {
--- a/group/place.go
+++ b/group/place.go
@@ -16,12 +16,23 @@
 	// MaxNewExperts is the maximum number of experts of a layer set that a rank may
 	// hold in the new map and does not hold in the base.
 	MaxNewExperts int
+	// NewLeft, unless it is nil, is the number of experts that each rank may get over all
+	// layer sets that are still to be placed.
+	NewLeft []int
 	// TargetImbalance is the time of the slowest rank, relative to the ideal
 	// time, at which the search ends. Values below minTargetImbalance, such as
 	// zero, stand for that constant.
 	TargetImbalance float64
 }
 
+// maxNew returns the number of new experts that rank r may hold.
+func (l PlacementLimits) maxNew(r int) int {
+	if l.NewLeft == nil {
+		return l.MaxNewExperts
+	}
+	return min(l.MaxNewExperts, l.NewLeft[r])
+}
+
 // effectiveTargetImbalance returns TargetImbalance, raised to the minimum.
 func (l PlacementLimits) effectiveTargetImbalance() float64 {
 	return max(l.TargetImbalance, minTargetImbalance)
@@ -92,15 +103,46 @@
 	return s.layer
 }
 
+// PlaceAll returns a map on which the demand of each layer set is spread as Place does.
+// Each rank gets at most maxNew new experts in all: ranks copy at the same time, so the
+// one with the most copies decides when the map can be used.
+func PlaceAll(
+	base []foxtailstack.ExpertLayer,
+	demand func(set int) []float64,
+	slowdown []float64,
+	limits PlacementLimits,
+	maxNew int,
+) []foxtailstack.ExpertLayer {
+	next := make([]foxtailstack.ExpertLayer, len(base))
+	limits.NewLeft = make([]int, len(slowdown))
+	for r := range limits.NewLeft {
+		limits.NewLeft[r] = maxNew
+	}
+	for s, layer := range base {
+		next[s] = Place(layer, demand(s), slowdown, limits)
+		for r := range limits.NewLeft {
+			limits.NewLeft[r] -= copiesTo(layer[r], next[s][r])
+		}
+	}
+	return next
+}
+
 // Copies returns the number of experts that ranks have to copy to change from
 // base to next.
 func Copies(base, next foxtailstack.ExpertLayer) int {
 	n := 0
 	for r := range next {
-		for _, e := range next[r] {
-			if !slices.Contains(base[r], e) {
-				n++
-			}
+		n += copiesTo(base[r], next[r])
+	}
+	return n
+}
+
+// copiesTo returns the number of experts that one rank has to copy.
+func copiesTo(base, next []foxtailstack.Expert) int {
+	n := 0
+	for _, e := range next {
+		if !slices.Contains(base, e) {
+			n++
 		}
 	}
 	return n
@@ -237,7 +279,7 @@
 func (s *search) considerChains(source int, targets []int, consider func(change)) {
 	var free []int
 	for _, r := range targets {
-		if len(s.layer[r]) < s.limits.ExpertsPerRank && s.newExperts[r] < s.limits.MaxNewExperts && len(free) < maxTargetRanks {
+		if len(s.layer[r]) < s.limits.ExpertsPerRank && s.newExperts[r] < s.limits.maxNew(r) && len(free) < maxTargetRanks {
 			free = append(free, r)
 		}
 	}
@@ -324,7 +366,7 @@
 // mayAdd reports whether rank r may get expert e within the limit on new
 // experts.
 func (s *search) mayAdd(r int, e foxtailstack.Expert) bool {
-	return s.newExperts[r] < s.limits.MaxNewExperts || slices.Contains(s.base[r], e)
+	return s.newExperts[r] < s.limits.maxNew(r) || slices.Contains(s.base[r], e)
 }
 
 // ranksByTime returns all ranks except one, in the order of increasing time.
--- a/group/place_test.go
+++ b/group/place_test.go
@@ -325,3 +325,42 @@
 		})
 	}
 }
+
+// Guards against a rank that gets many more new experts than the others: ranks copy at the
+// same time, so that it delays the map, and passes are longer until it has copied them.
+func TestPlaceAllSpreadsCopies(t *testing.T) {
+	const (
+		ranks, experts, sets = 72, 144, 12
+		maxNew               = 12
+	)
+	rng := rand.New(rand.NewPCG(1, 2))
+	base := InitialMap(ranks, experts, sets)
+	demand := make([][]float64, sets)
+	for s := range demand {
+		demand[s] = make([]float64, experts)
+		for place, e := range rng.Perm(experts) {
+			demand[s][e] = 1 / float64(place+5)
+		}
+	}
+	slowdown := slices.Repeat([]float64{1}, ranks)
+	next := PlaceAll(base, func(set int) []float64 { return demand[set] }, slowdown, PlacementLimits{
+		ExpertsPerRank: 3,
+		MaxNewExperts:  2,
+	}, maxNew)
+	skew := 0.0
+	for s := range next {
+		skew += Skew(next[s], demand[s], slowdown) / sets
+	}
+	if skew > 1.2 {
+		t.Errorf("skew %.2f, want at most 1.2", skew)
+	}
+	for r := range ranks {
+		copies := 0
+		for s := range next {
+			copies += copiesTo(base[s][r], next[s][r])
+		}
+		if copies > maxNew {
+			t.Errorf("rank %d has %d experts to copy, want at most %d", r, copies, maxNew)
+		}
+	}
+}
--- a/group/planner.go
+++ b/group/planner.go
@@ -18,11 +18,13 @@
 	// after a shift of demand.
 	surveyInterval      = 100 * time.Millisecond
 	shiftSurveyInterval = 60 * time.Millisecond
-	// relaxedTargetImbalance is the target imbalance of a map while a pass
-	// takes at most relaxedPassFraction of the longest gap between events that
-	// callers allow. It does not apply if no gap is set or no pass was measured.
-	relaxedTargetImbalance = 1.22
-	relaxedPassFraction    = 0.55
+	// relaxedPassFraction is the fraction of the longest gap between events that callers
+	// allow up to which passes may be expected to take under a map that is less even than
+	// the search finds. relaxedTargetImbalances apply to such maps.
+	relaxedPassFraction = 0.65
+	// maxCopiesFraction is the share of the new experts that a rank may have in all layer
+	// sets together up to which it gets some.
+	maxCopiesFraction = 0.5
 	// stopGrace is the time that a planner which is told to stop has to
 	// complete a switch.
 	stopGrace = 2 * time.Second
@@ -45,6 +47,10 @@
 	rememberedRounds = 4
 )
 
+// relaxedTargetImbalances are the target imbalances of maps that are less even than the
+// search finds, in the order in which they are tried.
+var relaxedTargetImbalances = []float64{1.22}
+
 // Planner changes the expert maps of one group as long as its sidecar is
 // elected. Its exported fields must be set before Run is called.
 type Planner struct {
@@ -379,7 +385,7 @@
 	if !p.demand.hasLength(config.LayerSets, config.Experts) || !p.demand.Steady() || time.Since(p.lastChange) < minMapInterval {
 		return nil
 	}
-	plan := p.planMap(config, survey.slowdowns())
+	plan := p.planMap(config, survey.slowdowns(), survey.meanRunning())
 	if plan.skewBefore-plan.skewAfter < minSkewGain+skewGainPerCopy*float64(plan.copies) {
 		return nil
 	}
@@ -419,7 +425,9 @@
 		zap.Duration("hold", times.hold),
 		zap.Duration("arm", times.arm),
 		zap.Duration("release", times.release),
-		zap.Duration("passtime", p.passTime))
+		zap.Float64("target", plan.target),
+		zap.Duration("passtime", p.passTime),
+		zap.Duration("expected", plan.passTime))
 	return nil
 }
 
@@ -440,35 +448,77 @@
 	// averaged over the layer sets.
 	skewBefore, skewAfter float64
 	copies                int
+	// target is the target imbalance of the new map, passTime the expected duration of a
+	// pass under it; zero if it is not known.
+	target   float64
+	passTime time.Duration
+}
+
+// passModel predicts the duration of passes under other maps.
+type passModel struct {
+	// passTime is the present duration of a pass, under a map with the given skew.
+	passTime time.Duration
+	skew     float64
+	// expertTime is the part of it that the experts take, at that skew.
+	expertTime time.Duration
 }
 
-// targetImbalance returns the target imbalance of a new map. While passes are
-// much shorter than the gap between events that callers allow, a less even map
-// is sufficient and needs fewer copies.
-func (p *Planner) targetImbalance(config *route.Group) float64 {
-	if p.passTime == 0 || float64(p.passTime) > relaxedPassFraction*float64(config.MaxEventGap) {
+// newPassModel returns a model from the present duration of a pass and the mean number of
+// requests at a rank.
+func newPassModel(config *route.Group, passTime time.Duration, running, skew float64) passModel {
+	perSequence := time.Duration(config.TokenStepsPerPass) * config.TokenStepTimePerSequence
+	expertTime := time.Duration(config.ExpertShare * running * skew * float64(perSequence))
+	return passModel{
+		passTime:   passTime,
+		skew:       skew,
+		expertTime: min(expertTime, passTime),
+	}
+}
+
+// at returns the duration of a pass under a map with another skew.
+func (m passModel) at(skew float64) time.Duration {
+	return m.passTime - m.expertTime + time.Duration(float64(m.expertTime)*skew/m.skew)
+}
+
+// targetImbalance returns the target imbalance of a new map: the highest with which passes
+// are expected to take no more than relaxedPassFraction of the gap between events that
+// callers allow. A less even map needs fewer copies, which make passes longer and
+// delay it.
+func (m passModel) targetImbalance(config *route.Group) float64 {
+	if m.passTime == 0 {
 		return minTargetImbalance
 	}
-	return relaxedTargetImbalance
+	limit := time.Duration(relaxedPassFraction * float64(config.MaxEventGap))
+	for _, target := range relaxedTargetImbalances {
+		if m.at(target) <= limit {
+			return target
+		}
+	}
+	return minTargetImbalance
 }
 
-// planMap returns the best map found for the present demand estimate.
-func (p *Planner) planMap(config *route.Group, slowdowns []float64) mapPlan {
-	limits := PlacementLimits{
+// planMap returns the best map found for the present demand estimate. running is the mean
+// number of requests at a rank.
+func (p *Planner) planMap(config *route.Group, slowdowns []float64, running float64) mapPlan {
+	sets := len(p.layers)
+	demand := func(set int) []float64 { return p.demand.ForSet(set, sets) }
+	plan := mapPlan{}
+	for s, layer := range p.layers {
+		plan.skewBefore += Skew(layer, demand(s), slowdowns) / float64(sets)
+	}
+	model := newPassModel(config, p.passTime, running, plan.skewBefore)
+	plan.target = model.targetImbalance(config)
+	plan.layers = PlaceAll(p.layers, demand, slowdowns, PlacementLimits{
 		ExpertsPerRank:  config.ExpertsPerRank,
 		MaxNewExperts:   config.MaxNewExperts,
-		TargetImbalance: p.targetImbalance(config),
-	}
-	best := mapPlan{layers: make([]foxtailstack.ExpertLayer, len(p.layers))}
+		TargetImbalance: plan.target,
+	}, int(maxCopiesFraction*float64(sets*config.MaxNewExperts)+1))
 	for s, layer := range p.layers {
-		demand := p.demand.ForSet(s, len(p.layers))
-		next := Place(layer, demand, slowdowns, limits)
-		best.layers[s] = next
-		best.skewBefore += Skew(layer, demand, slowdowns) / float64(len(p.layers))
-		best.skewAfter += Skew(next, demand, slowdowns) / float64(len(p.layers))
-		best.copies += Copies(layer, next)
-	}
-	return best
+		plan.skewAfter += Skew(plan.layers[s], demand(s), slowdowns) / float64(sets)
+		plan.copies += Copies(layer, plan.layers[s])
+	}
+	plan.passTime = model.at(plan.skewAfter)
+	return plan
 }
 
 // roundMeter keeps the times of the last orders to all ranks.
@@ -493,20 +543,42 @@
 	return slices.Max(m.times)
 }
 
+// passMeterTime is the least time over which the mean time of passes is measured. Surveys
+// come more often than passes begin, so that the time between two of them says little.
+const passMeterTime = 500 * time.Millisecond
+
+// passReading is the newest pass at a time.
+type passReading struct {
+	at   time.Time
+	step foxtailstack.Step
+}
+
 // passMeter measures the mean time of passes.
 type passMeter struct {
-	step     foxtailstack.Step
-	lastRead time.Time
+	// readings holds the last readings at which a new pass had begun. The first of them may
+	// be older than passMeterTime, but not twice as old.
+	readings []passReading
 }
 
-// mean returns the mean time of the passes since the last call, or zero if
-// there were none.
+// mean returns the mean time of the passes in the last passMeterTime, or zero if fewer
+// than two have begun since.
 func (m *passMeter) mean(step foxtailstack.Step, now time.Time) time.Duration {
-	previous := *m
-	m.step = step
-	m.lastRead = now
-	if previous.lastRead.IsZero() || step <= previous.step {
+	n := len(m.readings)
+	if n > 0 && step < m.readings[n-1].step {
+		m.readings = nil // the group has opened anew
+	}
+	if len(m.readings) == 0 || step > m.readings[len(m.readings)-1].step {
+		m.readings = append(m.readings, passReading{
+			at:   now,
+			step: step,
+		})
+	}
+	for len(m.readings) > 1 && (now.Sub(m.readings[1].at) >= passMeterTime || now.Sub(m.readings[0].at) >= 2*passMeterTime) {
+		m.readings = m.readings[1:]
+	}
+	first, last := m.readings[0], m.readings[len(m.readings)-1]
+	if last.step == first.step {
 		return 0
 	}
-	return now.Sub(previous.lastRead) / time.Duration(step-previous.step)
+	return last.at.Sub(first.at) / time.Duration(last.step-first.step)
 }
--- a/group/sidecar.go
+++ b/group/sidecar.go
@@ -23,10 +23,12 @@
 const (
 	// localTimeout bounds a call to the rank beside a sidecar.
 	localTimeout = 250 * time.Millisecond
-	// localOrderTimeout bounds one attempt to send an order to that rank.
+	// localOrderTimeout bounds one attempt to send an order to that rank, and
+	// localMapTimeout one to send an order to prepare, which holds a map.
 	// Without an answer the order is sent up to localAttempts times.
-	localOrderTimeout = 40 * time.Millisecond
-	localAttempts     = 3
+	localOrderTimeout = 15 * time.Millisecond
+	localMapTimeout   = 40 * time.Millisecond
+	localAttempts     = 4
 	// localPrepareTimeout bounds the time that a sidecar waits until its rank
 	// has prepared a map. preparePollInterval is the time between two reports
 	// that it asks for meanwhile.
@@ -281,7 +283,11 @@
 
 // orderOnce sends an order to the rank once.
 func (s *Sidecar) orderOnce(ctx context.Context, order Order) error {
-	ctx, cancel := context.WithTimeout(ctx, localOrderTimeout)
+	timeout := localOrderTimeout
+	if order.Action == Prepare {
+		timeout = localMapTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return s.Rank.Order(ctx, order)
 }
--- a/group/simmember_test.go
+++ b/group/simmember_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -186,7 +187,11 @@
 	if !m.connect(ctx) {
 		return errNoAnswerInTime
 	}
-	return m.orderThroughSidecar(order)
+	err := m.orderThroughSidecar(order)
+	if errors.Is(err, errNoAnswerInTime) {
+		<-ctx.Done()
+	}
+	return err
 }
 
 // orderThroughSidecar sends an order through the rank's sidecar.
--- a/group/survey.go
+++ b/group/survey.go
@@ -393,6 +393,18 @@
 	return ranks
 }
 
+// meanRunning returns the mean number of requests that run at a rank.
+func (s *Survey) meanRunning() float64 {
+	if len(s.Reports) == 0 {
+		return 0
+	}
+	total := 0
+	for _, r := range s.Reports {
+		total += r.Running
+	}
+	return float64(total) / float64(len(s.Reports))
+}
+
 // slowdowns returns the slowdown of each rank of a complete survey, each raised
 // to 1 if it is lower.
 func (s *Survey) slowdowns() []float64 {
--- a/group/switch.go
+++ b/group/switch.go
@@ -19,6 +19,11 @@
 	// localPrepareTimeout for an order to prepare, and one request for a report.
 	// An order that was accepted and not carried out is sent again after it.
 	orderTimeout = 150 * time.Millisecond
+	// directOrderTimeout is the same for the orders to hold and to release the group, which
+	// go straight to the rank: while they are unanswered the held pass comes nearer, or the
+	// group stands still. directRetryInterval replaces orderRetryInterval for them.
+	directOrderTimeout  = 25 * time.Millisecond
+	directRetryInterval = 5 * time.Millisecond
 	// orderRetryInterval is the time between two polls of a rank's report. An
 	// order that was not accepted is sent again after it.
 	orderRetryInterval = 30 * time.Millisecond
@@ -227,7 +232,7 @@
 		if refused {
 			return 0, fmt.Errorf("hold before pass %d: %w", step, ErrStateMismatch)
 		}
-		if clock.Sleep(ctx, orderRetryInterval) != nil {
+		if clock.Sleep(ctx, directRetryInterval) != nil {
 			return 0, fmt.Errorf("hold before pass %d: %w", step, ErrTimeout)
 		}
 	}
@@ -359,7 +364,7 @@
 		if err == nil && answered && order.doneIn(report) {
 			return nil
 		}
-		if clock.Sleep(ctx, orderRetryInterval) != nil {
+		if clock.Sleep(ctx, order.retryInterval()) != nil {
 			return fmt.Errorf("order to %s map %d at pass %d: %w", order.Action, order.Map, order.Step, ErrTimeout)
 		}
 	}
@@ -367,11 +372,14 @@
 
 // send sends an order once, with the switcher's fencing token and formation.
 // It waits for at most orderTimeout, or localPrepareTimeout more for an order to
-// prepare.
+// prepare and directOrderTimeout for one to hold or release the group.
 func (s *switcher) send(ctx context.Context, member Rank, order Order) error {
 	timeout := orderTimeout
-	if order.Action == Prepare {
+	switch {
+	case order.Action == Prepare:
 		timeout += localPrepareTimeout
+	case order.direct():
+		timeout = directOrderTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -384,6 +392,20 @@
 	return err
 }
 
+// direct reports whether the planner gives the order to the rank itself, not through its
+// sidecar.
+func (o Order) direct() bool {
+	return o.Step > 0 && (o.Action == Hold || o.Action == Release)
+}
+
+// retryInterval returns the time after which an order that was not accepted is sent again.
+func (o Order) retryInterval() time.Duration {
+	if o.direct() {
+		return directRetryInterval
+	}
+	return orderRetryInterval
+}
+
 // report returns the report of a rank, or ErrFormationChanged if the rank is
 // not in the switcher's formation.
 func (s *switcher) report(ctx context.Context, member Rank) (Report, error) {
--- a/group/switch_test.go
+++ b/group/switch_test.go
@@ -69,6 +69,48 @@
 	})
 }
 
+// Guards against a group that stands still because the planner waits for the answer to an
+// order to hold or to release it that gets none, or whose rank carries it out late: it is
+// sent again soon, and the report tells whether it was carried out.
+func TestUnansweredOrderDelaysNoPass(t *testing.T) {
+	for name, outcome := range map[string]delivery{
+		"order lost":  lostOrder,
+		"answer lost": lostReply,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newSimGroup(4)
+				sent := make(map[Action]int) // used only while mu is held
+				g.deliveryOf = func(_ foxtailstack.Rank, order Order) delivery {
+					if order.Step == 0 || order.Action != Hold && order.Action != Release {
+						return delivered
+					}
+					sent[order.Action]++
+					if sent[order.Action]%2 == 1 { // the first attempt
+						return outcome
+					}
+					return delivered
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				go g.run(ctx)
+				g.startPlanner(ctx, 0, 1)
+				time.Sleep(10 * time.Second)
+				g.checkPasses(t)
+				g.mu.Lock()
+				if g.ranks[0].report.Map == 0 || sent[Release] < 2 {
+					t.Errorf("map %d after %d orders to release, want a changed map", g.ranks[0].report.Map, sent[Release])
+				}
+				if g.longestPass > 2*passTime {
+					t.Errorf("a pass began %s after the one before it, want at most %s", g.longestPass, 2*passTime)
+				}
+				g.mu.Unlock()
+				cancel()
+				time.Sleep(time.Minute) // lets all goroutines end
+			})
+		})
+	}
+}
+
 // Each combination of delivery outcomes of the first orders of a switch, tried
 // in a run of its own, must end without a pass that began with two maps, and
 // the group must go on.
