Tell entries how many they are

An entry that has seen no load of a group yet takes an eighth of its requests for its own, or all free slots; 53 entries that start together take 41,022 of 774 free slots, and 6.6 times the slack of the retry budget.

Now a sidecar counts the entries that ask it for the status, the surveys add the counts up, and the status tells the sum. An entry without a load of its own takes an equal share, and never less than half of one.

Tests that failed before: TestStartingEntriesTakeEqualShares (41,022 of 774 slots, shares that add up to 6.62); TestSidecarCountsEntries. The golden messages have one more field, which is left out while it is zero.

--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -127,14 +127,31 @@
 	return silent
 }
 
+// ObserveEntries records the number of entries that send requests to a group behind a
+// service. Zero is ignored.
+func (s *Scheduler) ObserveEntries(service foxtailstack.ServiceName, group GroupName, n int) {
+	if n <= 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue(service).loadShare(group).entries = n
+}
+
 // LoadShare returns the fraction of the requests of all entries that this process gets,
-// as the statuses of groups show it. It is initialLoadShare if there was none.
+// as the statuses of groups show it. It is an equal share of all entries if no status
+// has shown a load, such as while a group is broken, and initialLoadShare if their number
+// is not known either.
 func (s *Scheduler) LoadShare() float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sum, known := 0.0, 0
+	equal := initialLoadShare
 	for _, q := range s.queues {
 		for _, share := range q.loadShares {
+			if share.entries > 0 {
+				equal = min(equal, share.initial())
+			}
 			if share.known {
 				sum += share.fraction
 				known++
@@ -142,7 +159,7 @@
 		}
 	}
 	if known == 0 {
-		return initialLoadShare
+		return equal
 	}
 	return sum / float64(known)
 }
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -7,10 +7,14 @@
 
 const (
 	// initialLoadShare is the initial value of the moving average, used from the first
-	// observation on. minLoadShare is the lowest share that an entry assumes for
-	// itself, so that one that gets its first requests can grow.
+	// observation on, while the number of entries is not known. minLoadShare is the lowest
+	// share that an entry then assumes for itself, so that one that gets its first requests
+	// can grow.
 	initialLoadShare = 0.125
 	minLoadShare     = 0.02
+	// minEqualShare is the lowest share as a fraction of an equal share of all entries,
+	// once their number is known.
+	minEqualShare = 0.5
 	// loadShareWeight is the weight of the newest fraction in the moving average.
 	loadShareWeight = 0.1
 	// loadShareOvercommit is the factor by which an entry exceeds its load share when
@@ -26,6 +30,26 @@
 	// fraction is an exponentially weighted moving average.
 	fraction float64
 	known    bool
+	// entries is the number of entries that send requests to the group; zero if it is not
+	// known.
+	entries int
+}
+
+// initial returns the share to assume before a load has been observed: an equal share of
+// all entries.
+func (l *loadShare) initial() float64 {
+	if l.entries == 0 {
+		return initialLoadShare
+	}
+	return 1 / float64(l.entries)
+}
+
+// least returns the lowest share to assume.
+func (l *loadShare) least() float64 {
+	if l.entries == 0 {
+		return minLoadShare
+	}
+	return minEqualShare / float64(l.entries)
 }
 
 // observe records the number of requests at the group that come from this process,
@@ -36,20 +60,24 @@
 	}
 	fraction := min(1, float64(own)/float64(all))
 	if !l.known {
-		l.fraction = initialLoadShare
+		l.fraction = l.initial()
 		l.known = true
 	}
 	l.fraction += loadShareWeight * (fraction - l.fraction)
 }
 
 // allowance returns the fraction of the free slots that this process may take: its load
-// share, but at least minLoadShare, times loadShareOvercommit, and at most one. It is
-// one until a load has been observed.
+// share, but at least the least one, times loadShareOvercommit, and at most one. Until a
+// load has been observed, it is one if the number of entries is not known either.
 func (l *loadShare) allowance() float64 {
-	if !l.known {
+	if !l.known && l.entries == 0 {
 		return 1
 	}
-	return min(1, loadShareOvercommit*max(minLoadShare, l.fraction))
+	fraction := l.fraction
+	if !l.known {
+		fraction = l.initial()
+	}
+	return min(1, loadShareOvercommit*max(l.least(), fraction))
 }
 
 // slotDivider divides the free slots of ranks into quotas, the numbers of them that
--- a/dispatch/share_test.go
+++ b/dispatch/share_test.go
@@ -127,3 +127,47 @@
 		}
 	})
 }
+
+// Guards against entries of a large fleet that start together, as after a loss of power, and
+// each take the share of one of a few: the ranks would get many times what they have slots
+// for, and the retries of all entries together would exceed the budget. The group has no
+// load yet, or does not work at all.
+func TestStartingEntriesTakeEqualShares(t *testing.T) {
+	const (
+		entries = 53
+		ranks   = 129
+		slots   = 6
+	)
+	synctest.Test(t, func(t *testing.T) {
+		loads := make(map[foxtailstack.Address]dispatch.RankLoad, ranks)
+		for i := range ranks {
+			loads[rankAddress(i)] = dispatch.RankLoad{Slowdown: 1}
+		}
+		taken, shares := 0, 0.0
+		for range entries {
+			s := newScheduler(ranks, slots)
+			s.ObserveEntries(service, groupName, entries)
+			s.ObserveGroup(service, groupName, loads, 0)
+			shares += s.LoadShare()
+			for {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+				_, err := s.Acquire(ctx, dispatch.Request{
+					Service: service,
+					Grouped: true,
+				})
+				cancel()
+				if err != nil {
+					break
+				}
+				taken++
+			}
+		}
+		const free = ranks * slots
+		if taken < free/2 || taken > 2*free {
+			t.Errorf("%d entries take %d of %d free slots, want at least half and at most twice as many", entries, taken, free)
+		}
+		if shares > 1.01 {
+			t.Errorf("the load shares of %d entries add up to %.2f, want at most 1", entries, shares)
+		}
+	})
+}
--- a/group/gather.go
+++ b/group/gather.go
@@ -37,6 +37,8 @@
 	LacksTable bool `cbor:"4,keyasint,omitempty"`
 	// Fenced is set if a sidecar has seen a newer planner.
 	Fenced bool `cbor:"5,keyasint,omitempty"`
+	// Entries is the sum of the numbers of entries.
+	Entries int `cbor:"6,keyasint,omitempty"`
 }
 
 // sharedState is what a report and an arm record have in common at several ranks. The
@@ -67,6 +69,7 @@
 	sample       Sample
 	lacksTable   bool
 	fenced       bool
+	entries      int
 }
 
 // add adds the observation of the sidecar with an index.
@@ -79,6 +82,7 @@
 	shared.Report.Running = 0
 	shared.Report.Waiting = 0
 	shared.Report.Slowdown = 0
+	g.Entries += o.Entries
 	g.Ranks = append(g.Ranks, rankState{
 		Index:    index,
 		State:    g.stateIndex(shared),
@@ -114,6 +118,7 @@
 	g.Sample = addSamples(g.Sample, other.Sample)
 	g.LacksTable = g.LacksTable || other.LacksTable
 	g.Fenced = g.Fenced || other.Fenced
+	g.Entries += other.Entries
 }
 
 // observation returns the observation of one rank, without a sample. It returns false
@@ -159,6 +164,7 @@
 		sample:       reply.Sample,
 		lacksTable:   reply.LacksTable,
 		fenced:       reply.Fenced,
+		entries:      reply.Entries,
 	}
 	members := branch{
 		head: p,
--- a/group/planner.go
+++ b/group/planner.go
@@ -196,8 +196,9 @@
 // publish publishes the status of a survey, here and with the next survey.
 func (p *Planner) publish(survey *Survey) {
 	status := newStatusMessage(&Status{
-		Group: p.Name,
-		Ranks: survey.rankStatuses(),
+		Group:   p.Name,
+		Ranks:   survey.rankStatuses(),
+		Entries: survey.entries,
 	})
 	p.sendTable = survey.lacksTable || p.status == nil || p.status.Table != status.Table
 	p.status = status
--- a/group/sidecar.go
+++ b/group/sidecar.go
@@ -58,6 +58,8 @@
 	Report    Report    `cbor:"1,keyasint"`
 	Sample    Sample    `cbor:"2,keyasint"`
 	ArmRecord ArmRecord `cbor:"3,keyasint"`
+	// Entries is the number of entries that have asked the sidecar for the status lately.
+	Entries int `cbor:"4,keyasint,omitempty"`
 }
 
 // expertsReply is the answer to a request for the experts of a rank.
@@ -97,6 +99,9 @@
 	lastSample time.Time
 	// status is the status for entries.
 	status knownStatus
+	// entries holds the hosts of the entries that asked for it, with the time of the last
+	// request of each.
+	entries map[string]time.Time
 }
 
 // Register adds the handlers of requests from planners, other sidecars and entries.
@@ -168,6 +173,7 @@
 	answer := Observation{
 		Report:    report,
 		ArmRecord: s.currentArmRecord(),
+		Entries:   s.countEntries(time.Now()),
 	}
 	if !withSample {
 		return answer, nil
--- a/group/status.go
+++ b/group/status.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"math"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -19,6 +20,9 @@
 // ranks that the entry has received from the group.
 const paramTable = "table"
 
+// entryTime is how long an entry is counted after it asked for the status.
+const entryTime = 4 * statusInterval
+
 // maxStatusAge is the age from which sidecars do not pass on a status.
 const maxStatusAge = 1500 * time.Millisecond
 
@@ -35,6 +39,8 @@
 type Status struct {
 	Group Name
 	Ranks []RankStatus
+	// Entries is the number of entries that ask for the status; zero if it is not known.
+	Entries int
 	// Age is the time since the survey that the status is from.
 	Age time.Duration
 }
@@ -54,6 +60,7 @@
 	// Slowdowns holds the slowdowns other than one.
 	Slowdowns []rankSlowdown `cbor:"5,keyasint,omitempty"`
 	Age       time.Duration  `cbor:"6,keyasint"`
+	Entries   int            `cbor:"7,keyasint,omitempty"`
 }
 
 // rankSlowdown is the slowdown of the rank with an index in the table of ranks.
@@ -70,8 +77,9 @@
 		return compareAddresses(a.Address, b.Address)
 	})
 	message := &statusMessage{
-		Group: status.Group,
-		Age:   status.Age,
+		Group:   status.Group,
+		Age:     status.Age,
+		Entries: status.Entries,
 	}
 	digest := fnv.New64a()
 	for i, rank := range ranks {
@@ -120,9 +128,10 @@
 		return Status{}, false
 	}
 	status := Status{
-		Group: m.Group,
-		Ranks: make([]RankStatus, len(addresses)),
-		Age:   m.Age,
+		Group:   m.Group,
+		Ranks:   make([]RankStatus, len(addresses)),
+		Entries: m.Entries,
+		Age:     m.Age,
 	}
 	for i, address := range addresses {
 		status.Ranks[i] = RankStatus{
@@ -202,8 +211,28 @@
 // serveStatus answers an entry's request for the status of the group.
 func (s *Sidecar) serveStatus(w http.ResponseWriter, r *http.Request) {
 	known, _ := strconv.ParseUint(r.URL.Query().Get(paramTable), 16, 64) // zero stands for none
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	s.mu.Lock()
+	if err == nil {
+		if s.entries == nil {
+			s.entries = make(map[string]time.Time)
+		}
+		s.entries[host] = time.Now()
+	}
 	answer := s.status.reply(tableID(known), time.Now())
 	s.mu.Unlock()
 	writeReply(w, nil, answer)
 }
+
+// countEntries returns the number of entries that have asked for the status within
+// entryTime.
+func (s *Sidecar) countEntries(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for host, asked := range s.entries {
+		if now.Sub(asked) > entryTime {
+			delete(s.entries, host)
+		}
+	}
+	return len(s.entries)
+}
--- a/group/survey.go
+++ b/group/survey.go
@@ -36,6 +36,8 @@
 	// lacksTable is set if a member does not know the table of ranks of the status that
 	// was passed on.
 	lacksTable bool
+	// entries is the number of entries that ask for the status.
+	entries int
 }
 
 // Member is a rank of the group as a planner reaches it.
@@ -135,6 +137,7 @@
 	defer s.mu.Unlock()
 	s.survey.Fenced = s.survey.Fenced || result.fenced || isFenced(err)
 	s.survey.lacksTable = s.survey.lacksTable || result.lacksTable
+	s.survey.entries += result.entries
 	var missing []Member
 	for _, member := range members {
 		observation, ok := result.observations[member]
@@ -167,6 +170,7 @@
 	if err != nil {
 		return
 	}
+	s.entries += answer.Entries
 	s.Groups[member.Address()] = answer.Report.Group
 	if answer.Report.Group != name {
 		return
--- a/group/watcher_test.go
+++ b/group/watcher_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/alexedwards/flow"
@@ -130,3 +131,23 @@
 			received, w.groups["g"].sidecar, endpoints[1].Sidecar)
 	}
 }
+
+// Guards against entries that are counted twice, or for long after they have gone: their
+// number decides how many slots and retries each of them takes.
+func TestSidecarCountsEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sidecar := &Sidecar{Log: zap.NewNop()}
+		for _, from := range []string{"10.0.0.1:1000", "10.0.0.2:1000", "10.0.0.2:1001"} {
+			request := httptest.NewRequest(http.MethodGet, pathStatus, nil)
+			request.RemoteAddr = from
+			newHandler(sidecar).ServeHTTP(httptest.NewRecorder(), request)
+		}
+		if got := sidecar.countEntries(time.Now()); got != 2 {
+			t.Errorf("%d entries are counted, want 2", got)
+		}
+		time.Sleep(2 * entryTime)
+		if got := sidecar.countEntries(time.Now()); got != 0 {
+			t.Errorf("%d entries are counted after they have gone, want 0", got)
+		}
+	})
+}
--- a/machine/entry.go
+++ b/machine/entry.go
@@ -353,6 +353,7 @@
 			Slowdown: rank.Slowdown,
 		}
 	}
+	e.scheduler.ObserveEntries(service, dispatch.GroupName(status.Group), status.Entries)
 	e.scheduler.ObserveGroup(service, dispatch.GroupName(status.Group), ranks, status.Age)
 }
 
