See the first of many changes of the list of upstreams soon

Test: TestFollowerOfStartingFleetMakesFewCalls also asks for the first four within a quarter of a second (half a second before).

--- a/machine/entry.go
+++ b/machine/entry.go
@@ -39,9 +39,11 @@
 	// be within that time. defaultFleetPollTimeout is used if that time is not set.
 	fleetPollFraction       = 0.75
 	defaultFleetPollTimeout = 2500 * time.Millisecond
-	// fleetPauseFraction of the drain time is the pause after changes to the list of
-	// upstreams, so that one call brings those of many that start or leave together.
-	fleetPauseFraction = 0.125
+	// maxFleetPauseFraction of the drain time is the longest pause after changes to the
+	// list of upstreams, so that one call brings those of many that start or leave
+	// together, and minFleetPauseFraction the first.
+	minFleetPauseFraction = 1.0 / 64
+	maxFleetPauseFraction = 1.0 / 8
 	// crashPollTimeout is the long-poll timeout for the crashes in the store. Those that
 	// matter at once come over the board as well.
 	crashPollTimeout = 20 * time.Second
@@ -243,7 +245,8 @@
 		Feed:            e.store,
 		Table:           platform.TableUpstreams,
 		LongPollTimeout: fleetPollTimeout(e.settings.Bounds),
-		ChangePause:     fleetChangePause(e.settings.Bounds),
+		ChangePause:     fleetChangePause(e.settings.Bounds, minFleetPauseFraction),
+		MaxChangePause:  fleetChangePause(e.settings.Bounds, maxFleetPauseFraction),
 		Replace:         e.view.ReplaceFleet,
 		Update:          e.view.UpdateFleet,
 		Now:             clock.Boot,
@@ -375,9 +378,10 @@
 	return time.Duration(fleetPollFraction * float64(bounds.ContactTime))
 }
 
-// fleetChangePause returns the pause after changes to the list of upstreams.
-func fleetChangePause(bounds platform.Bounds) time.Duration {
-	return time.Duration(fleetPauseFraction * float64(bounds.DrainTime))
+// fleetChangePause returns a fraction of the drain time as the pause after changes to the
+// list of upstreams.
+func fleetChangePause(bounds platform.Bounds, fraction float64) time.Duration {
+	return time.Duration(fraction * float64(bounds.DrainTime))
 }
 
 // statusHandler returns the handler for the platform's readiness checks and for the
--- a/watch/follower.go
+++ b/watch/follower.go
@@ -29,6 +29,10 @@
 	// ChangePause is the time between a response with changes and the next call, so that
 	// one response holds changes that several writers make at nearly the same time.
 	ChangePause time.Duration
+	// MaxChangePause, if it is longer, is what that time grows to, twice as long after each
+	// response, while changes go on: the first of many are seen soon, and all of them with
+	// few calls.
+	MaxChangePause time.Duration
 	// Replace receives all rows of the table, each at least as new as version.
 	Replace func(records []foxtailstack.Record, version foxtailstack.StoreVersion)
 	// Update receives the rows that changed since the last call of Replace or
@@ -47,6 +51,9 @@
 	// storeLost is set by a failed call and reset by the next successful one.
 	// ErrHistoryGone and failures after the end of the context of Run do not set it.
 	storeLost bool
+	// pause is the time of the last pause after changes, which ended at pauseEnd.
+	pause    time.Duration
+	pauseEnd time.Time
 }
 
 // Run follows the table until ctx is done. After foxtailstack.ErrHistoryGone it
@@ -106,11 +113,24 @@
 	f.version = version
 	if len(records) > 0 {
 		f.Update(records, version)
-		_ = clock.Sleep(ctx, f.ChangePause) // Run checks ctx
+		f.pauseAfterChange(ctx)
 	}
 	return nil
 }
 
+// pauseAfterChange waits after a response with changes. The pause is twice as long as the
+// last one if these changes were made soon after it.
+func (f *Follower) pauseAfterChange(ctx context.Context) {
+	longest := max(f.ChangePause, f.MaxChangePause)
+	if time.Since(f.pauseEnd) > longest {
+		f.pause = f.ChangePause
+	} else {
+		f.pause = min(2*f.pause, longest)
+	}
+	_ = clock.Sleep(ctx, f.pause) // Run checks ctx
+	f.pauseEnd = time.Now()
+}
+
 // recordFailure logs the first of consecutive failures. It ignores failures caused
 // by the end of ctx.
 func (f *Follower) recordFailure(ctx context.Context, err error) {
