Account for all requests by what kept them from being on time

The line at the end of a request holds what its route allows (target, allowed), so that logs suffice. Test: TestSummary, a line for each row.

--- a/command/explain.go
+++ b/command/explain.go
@@ -8,25 +8,62 @@
 	"github.com/spf13/cobra"
 )
 
-// newExplain returns the command that tells what happened to a request.
+// newExplain returns the command that tells what happened to a request, or to all.
 func newExplain() *cobra.Command {
-	return &cobra.Command{
-		Use:     "explain ID FILE...",
-		Short:   "Tell from logs what happened to a request",
-		Example: "  foxtailstack explain 9c41d07be2a35f68 entry-1.log sidecar-*.log",
-		Args:    cobra.MinimumNArgs(2),
+	summary := false
+	cmd := &cobra.Command{
+		Use:   "explain {ID | --summary} FILE...",
+		Short: "Tell from logs what happened to a request, or what kept all from being on time",
+		Example: "  foxtailstack explain 9c41d07be2a35f68 entry-1.log sidecar-*.log\n" +
+			"  foxtailstack explain --summary entry-*.log sidecar-*.log",
 		RunE: func(cmd *cobra.Command, args []string) error {
-			var lines []explain.Line
-			for _, path := range args[1:] {
-				read, err := readLog(path)
-				if err != nil {
-					return err
-				}
-				lines = append(lines, read...)
+			if summary {
+				return explainAll(cmd, args)
 			}
-			return explain.NewReport(args[0], lines).Write(cmd.OutOrStdout())
+			return explainOne(cmd, args)
 		},
 	}
+	cmd.Flags().BoolVar(&summary, "summary", false, "count all requests by what kept them from being served on time")
+	return cmd
+}
+
+// explainOne writes the report on the request whose ID is the first argument.
+func explainOne(cmd *cobra.Command, args []string) error {
+	err := cobra.MinimumNArgs(2)(cmd, args)
+	if err != nil {
+		return err
+	}
+	lines, err := readLogs(args[1:])
+	if err != nil {
+		return err
+	}
+	return explain.NewReport(args[0], lines).Write(cmd.OutOrStdout())
+}
+
+// explainAll writes the summary of all requests.
+func explainAll(cmd *cobra.Command, args []string) error {
+	err := cobra.MinimumNArgs(1)(cmd, args)
+	if err != nil {
+		return err
+	}
+	lines, err := readLogs(args)
+	if err != nil {
+		return err
+	}
+	return explain.NewSummary(lines).Write(cmd.OutOrStdout())
+}
+
+// readLogs reads files, one after the other.
+func readLogs(paths []string) ([]explain.Line, error) {
+	var lines []explain.Line
+	for _, path := range paths {
+		read, err := readLog(path)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, read...)
+	}
+	return lines, nil
 }
 
 // readLog reads one file.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -300,8 +300,11 @@
 	countRequest(status, reason, c.timeToFirstByte, time.Since(c.arrived))
 	queueSeconds.Update(c.queueTime.Seconds())
 	name := ""
+	target, allowedGap := time.Duration(0), time.Duration(0)
 	if c.route != nil {
 		name = c.route.Name
+		target = c.route.TargetLatency
+		allowedGap = c.route.MaxEventGap
 	}
 	config := uint64(0)
 	if c.cfg != nil {
@@ -321,7 +324,9 @@
 		zap.Int64("events", c.stream.lastEventID),
 		zap.Duration("waited", c.queueTime),
 		zap.Duration("first", c.timeToFirstByte),
+		zap.Duration("target", target),
 		zap.Duration("gap", c.stream.longestGap),
+		zap.Duration("allowed", allowedGap),
 		zap.Duration("took", time.Since(c.arrived)),
 		zap.Duration("given", c.allowedTime()),
 		zap.Uint64("config", config),
