Let the status tell whether a group works

What callers saw: while a group is broken each entry tries it with a caller's request every 0.12 s.

Cause: nobody but a caller's request could tell an entry that the group works.

Now the planner's status says so, and entries ask for it each 0.1 s while a group is broken. A status counts if it is newer than the last refusal; without one for 1.5 s requests are used as probes as before. When the group works all that waits is sent, but for requests whose callers leave before a first event can come: all slots of a rank are filled at once and it reads all prompts first. Retry-After during an outage is four fifths to all of a third of the time that is left. A request that cannot be served is still refused at once.

Tests: TestStatusOfBrokenGroupReplacesProbes, TestBrokenGroupIsProbedWithoutStatus, TestOldStatusOfGroupIsIgnored, TestHopelessRequestIsRefusedDuringOutage, TestFirstEventIsLateWhenGroupOpens, TestRetryAfterDuringOutageIsLate.

--- a/dispatch/breaker.go
+++ b/dispatch/breaker.go
@@ -9,6 +9,9 @@
 	// probeTimeout is the time after which a probe without an outcome no longer
 	// holds up the next.
 	probeTimeout = 300 * time.Millisecond
+	// statusLag is how much later than it seems a status may have been taken: its age leaves
+	// out the way here.
+	statusLag = 100 * time.Millisecond
 )
 
 // circuitBreaker keeps requests away from a group that does not work. While it is
@@ -24,6 +27,11 @@
 	probeSentAt time.Time
 	// closedAt is the time at which the group last began to work again.
 	closedAt time.Time
+	// trippedAt is the time of the last sign that the group is broken.
+	trippedAt time.Time
+	// brokenUntil is the time until which a status that says that the group is broken
+	// counts. No probes are needed until then: a later status shows that it works again.
+	brokenUntil time.Time
 }
 
 // check reports whether the next request is a probe, and how long nothing may be sent
@@ -32,6 +40,9 @@
 	if !c.open {
 		return false, 0
 	}
+	if now.Before(c.brokenUntil) {
+		return true, min(c.brokenUntil.Sub(now), probeInterval)
+	}
 	if !c.probeSentAt.IsZero() {
 		wait = c.probeSentAt.Add(probeTimeout).Sub(now)
 	}
@@ -46,15 +57,33 @@
 // unprobed reports whether the breaker is open and the next probe has been due for a
 // time.
 func (c *circuitBreaker) unprobed(d time.Duration, now time.Time) bool {
-	return c.open && c.probeSentAt.IsZero() && now.Sub(c.probeAt) >= d
+	return c.open && c.probeSentAt.IsZero() && now.Sub(c.probeAt) >= d && !now.Before(c.brokenUntil)
 }
 
 // trip opens the breaker, or keeps it open, and sets the time of the next probe.
-func (c *circuitBreaker) trip(probeAt time.Time) {
+func (c *circuitBreaker) trip(now, probeAt time.Time) {
 	c.open = true
+	c.trippedAt = now
 	c.probeAt = probeAt
 }
 
+// observeStatus records whether the group worked at a time, by its status. It closes the
+// breaker if the status is newer than the last sign that the group is broken.
+func (c *circuitBreaker) observeStatus(broken bool, at, now time.Time) {
+	switch {
+	case broken && at.After(c.closedAt.Add(statusLag)):
+		if !c.open {
+			c.trip(now, now)
+		}
+		c.brokenUntil = at.Add(loadTTL)
+	case !broken && c.open && at.After(c.trippedAt.Add(statusLag)):
+		c.open = false
+		c.closedAt = now
+		c.brokenUntil = time.Time{}
+		c.probeSentAt = time.Time{}
+	}
+}
+
 // recordProbe closes the breaker if a probe was answered. Otherwise it keeps the
 // breaker open and sets the time of the next probe, also if the outcome is
 // Inconclusive. Outcomes of requests that were not probes are ignored.
@@ -68,7 +97,8 @@
 			c.closedAt = now
 		}
 		c.open = false
+		c.brokenUntil = time.Time{}
 		return
 	}
-	c.trip(now.Add(probeInterval))
+	c.trip(now, now.Add(probeInterval))
 }
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -6,6 +6,7 @@
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/exchange"
 	"github.com/foxtailstack/foxtailstack/route"
+	"go.uber.org/zap"
 )
 
 // GroupName names a group of ranks behind a service.
@@ -138,6 +139,37 @@
 	s.queue(service).loadShare(group).entries = n
 }
 
+// ObserveFormation records whether a group behind a service worked, by a status of the given
+// age. Requests that wait for a group are sent at once when it works again.
+func (s *Scheduler) ObserveFormation(service foxtailstack.ServiceName, group GroupName, broken bool, age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	q := s.queue(service)
+	breaker := q.breaker(group)
+	wasOpen := breaker.open
+	breaker.observeStatus(broken, now.Add(-age), now)
+	if wasOpen == breaker.open {
+		return
+	}
+	message := "group works again"
+	if breaker.open {
+		message = "group broken"
+	}
+	s.logger().Info(message,
+		zap.String("service", string(service)),
+		zap.String("group", string(group)),
+		zap.Duration("age", age))
+	s.serve(q)
+}
+
+// Broken reports whether a group behind a service does not work.
+func (s *Scheduler) Broken(service foxtailstack.ServiceName) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue(service).broken()
+}
+
 // LoadShare returns the fraction of the requests of all entries that this process gets,
 // as the statuses of groups show it. It is an equal share of all entries if no status
 // has shown a load, such as while a group is broken, and initialLoadShare if their number
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -172,6 +172,16 @@
 	return getOrCreate(&q.breakers, group)
 }
 
+// broken reports whether one of the groups does not work.
+func (q *queue) broken() bool {
+	for _, breaker := range q.breakers {
+		if breaker.open {
+			return true
+		}
+	}
+	return false
+}
+
 // loadShare returns this process's load share at a group.
 func (q *queue) loadShare(group GroupName) *loadShare {
 	return getOrCreate(&q.loadShares, group)
@@ -226,6 +236,7 @@
 		Queued:   len(q.waiters),
 		Wait:     wait,
 		PassTime: q.passEstimator.passTime(now),
+		Broken:   q.broken(),
 	}
 }
 
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -48,6 +48,8 @@
 	// PassTime is the duration of a pass of the groups behind the service, taken
 	// together; zero if it is not known.
 	PassTime time.Duration
+	// Broken is set if a group behind the service does not work.
+	Broken bool
 }
 
 // Error returns the text of the error.
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -84,7 +84,7 @@
 		s.setSilent(&r.Upstream, now.Add(silentTime), 0)
 	case GroupBroken:
 		r.logGroupBroken(report.Culprit)
-		r.breaker.trip(now.Add(probeInterval))
+		r.breaker.trip(now, now.Add(probeInterval))
 	}
 	r.recordProbe(report.Outcome, now)
 	s.serve(q)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -34,6 +34,9 @@
 	// time; a measured pass can be shorter. It does not apply to the time to the
 	// first event.
 	minPassTime = 40 * time.Millisecond
+	// maxOpeningTime bounds how much later than usual a first event is expected when a group
+	// opens.
+	maxOpeningTime = 500 * time.Millisecond
 	// lengthHintFactor scales the expected output length, which is the caller's
 	// estimate or else its limit. Such estimates are often too high.
 	lengthHintFactor = 0.7
@@ -236,6 +239,9 @@
 		tokens = c.requestInfo.MaxOutputTokens
 	}
 	request.TimeToFirstEvent = max(minTimeToFirstEvent, passesToFirstEvent*passTime)
+	if c.gateway.Scheduler.Broken(c.service) {
+		request.TimeToFirstEvent += c.openingTime(group)
+	}
 	if c.route.Kind == route.Stream && !c.stream.headerSent {
 		request.AbandonAt = c.arrived.Add(c.route.AbandonTimeout())
 	}
@@ -245,6 +251,17 @@
 	c.abandonAt = request.AbandonAt
 }
 
+// openingTime returns by how much the first event of a request that is sent when a group opens
+// is later than usual: all slots of the rank are filled at once, and the rank reads all
+// prompts before it begins to answer. The others are taken to be as long as this one.
+func (c *call) openingTime(group *route.Group) time.Duration {
+	if group.PromptTokensPerSecond <= 0 {
+		return 0
+	}
+	tokens := float64(group.Slots) * float64(c.requestInfo.PromptTokens)
+	return min(time.Duration(tokens/group.PromptTokensPerSecond*float64(time.Second)), maxOpeningTime)
+}
+
 // receivedEvents returns the ID of the last event that the caller has. Upstreams number
 // the events of a stream from one.
 func (c *call) receivedEvents() int64 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -200,6 +200,9 @@
 	// retryAfterDivisor bounds a Retry-After by the remaining time of the request
 	// divided by this number, to leave time to serve the retry.
 	retryAfterDivisor = 3
+	// outageSpreadDivisor is the part of the latest Retry-After over which the callers of a
+	// broken group come back.
+	outageSpreadDivisor = 5
 	// retryAfterOutage applies if no configuration or no upstream is available. The
 	// whole system needs some time to recover from that.
 	retryAfterOutage = 500 * time.Millisecond
--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -20,6 +20,7 @@
 	c.logOverload(err)
 	var refused *quarantine.RefusedError
 	var paused *dispatch.PausedError
+	var overload *dispatch.OverloadError
 	switch {
 	case c.r.Context().Err() != nil:
 		gap, _ := c.stream.sinceLastEvent(time.Now())
@@ -37,8 +38,8 @@
 		c.respondError(http.StatusBadGateway, reasonAllFailed)
 	case errors.As(err, &refused):
 		c.respondRefused(refused)
-	case errors.Is(err, dispatch.ErrOverloaded):
-		c.respondUnavailable(reasonOverloaded, c.overloadRetryAfter())
+	case errors.As(err, &overload):
+		c.respondUnavailable(reasonOverloaded, c.overloadRetryAfter(overload))
 	case errors.As(err, &paused):
 		c.respondUnavailable(reasonPaused, paused.Wait)
 	case errors.Is(err, dispatch.ErrNoUpstream):
@@ -64,13 +65,19 @@
 	c.respondUnavailable(reason, refused.RetryAfter)
 }
 
-// overloadRetryAfter returns the Retry-After for a full queue. The delay lets the
-// queue shrink and is randomized against a thundering herd of retries. It is at
-// most the remaining time of the request divided by retryAfterDivisor, so that the
-// retry can still be served, but never below retryAfterElsewhere.
-func (c *call) overloadRetryAfter() time.Duration {
-	retryAfter := retryAfterQueue + rand.N(retryAfterSpread)
-	return min(retryAfter, max(time.Until(c.deadline)/retryAfterDivisor, retryAfterElsewhere))
+// overloadRetryAfter returns the Retry-After for a request that would not be served in
+// time. It is at most the remaining time of the request divided by retryAfterDivisor, so
+// that the retry can still be served, but never below retryAfterElsewhere.
+//
+// For a full queue the delay lets the queue shrink and is randomized against a thundering
+// herd of retries. While a group is broken nobody knows for how long, and callers mostly
+// come back but once: they are told to do so about as late as they can.
+func (c *call) overloadRetryAfter(overload *dispatch.OverloadError) time.Duration {
+	latest := max(time.Until(c.deadline)/retryAfterDivisor, retryAfterElsewhere)
+	if overload.Broken {
+		return latest - rand.N(latest/outageSpreadDivisor+1)
+	}
+	return min(retryAfterQueue+rand.N(retryAfterSpread), latest)
 }
 
 // logOverload logs the estimates from which the scheduler concluded that the request
--- a/group/planner.go
+++ b/group/planner.go
@@ -199,6 +199,7 @@
 		Group:   p.Name,
 		Ranks:   survey.rankStatuses(),
 		Entries: survey.entries,
+		Broken:  len(survey.Reports) > 0 && !survey.sameFormation(),
 	})
 	p.sendTable = survey.lacksTable || p.status == nil || p.status.Table != status.Table
 	p.status = status
--- a/group/status.go
+++ b/group/status.go
@@ -41,6 +41,8 @@
 	Ranks []RankStatus
 	// Entries is the number of entries that ask for the status; zero if it is not known.
 	Entries int
+	// Broken is set if the group does not work.
+	Broken bool
 	// Age is the time since the survey that the status is from.
 	Age time.Duration
 }
@@ -61,6 +63,7 @@
 	Slowdowns []rankSlowdown `cbor:"5,keyasint,omitempty"`
 	Age       time.Duration  `cbor:"6,keyasint"`
 	Entries   int            `cbor:"7,keyasint,omitempty"`
+	Broken    bool           `cbor:"8,keyasint,omitempty"`
 }
 
 // rankSlowdown is the slowdown of the rank with an index in the table of ranks.
@@ -80,6 +83,7 @@
 		Group:   status.Group,
 		Age:     status.Age,
 		Entries: status.Entries,
+		Broken:  status.Broken,
 	}
 	digest := fnv.New64a()
 	for i, rank := range ranks {
@@ -131,6 +135,7 @@
 		Group:   m.Group,
 		Ranks:   make([]RankStatus, len(addresses)),
 		Entries: m.Entries,
+		Broken:  m.Broken,
 		Age:     m.Age,
 	}
 	for i, address := range addresses {
--- a/group/watcher.go
+++ b/group/watcher.go
@@ -19,6 +19,8 @@
 const (
 	// statusInterval is the time between two rounds of requests for the status.
 	statusInterval = 300 * time.Millisecond
+	// urgentInterval replaces it while the watcher is urgent.
+	urgentInterval = 100 * time.Millisecond
 	// statusTimeout bounds one request.
 	statusTimeout = 400 * time.Millisecond
 	// maxGroupsPerRound is the maximum number of groups whose status is asked for in
@@ -46,7 +48,10 @@
 	Endpoints func() []RankEndpoints
 	// OnStatus is called with each status received.
 	OnStatus func(Status)
-	Log      *zap.Logger
+	// Urgent reports that requests wait for a group that is broken, so that the watcher
+	// asks more often; it may be nil.
+	Urgent func() bool
+	Log    *zap.Logger
 
 	mu     sync.Mutex
 	groups map[Name]*watchedGroup
@@ -75,7 +80,7 @@
 
 // Run polls until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
-	for clock.Sleep(ctx, statusInterval) == nil {
+	for clock.Sleep(ctx, w.interval()) == nil {
 		var wg sync.WaitGroup
 		for _, query := range w.nextQueries() {
 			wg.Go(func() { w.run(ctx, query) })
@@ -84,6 +89,14 @@
 	}
 }
 
+// interval returns the time between two rounds.
+func (w *Watcher) interval() time.Duration {
+	if w.Urgent != nil && w.Urgent() {
+		return urgentInterval
+	}
+	return statusInterval
+}
+
 // nextQueries returns the queries of this round: for known groups in turn, and to a
 // random sidecar whose upstream is in no status, which may belong to another group. The
 // latter is asked every roundsPerSearch rounds, and in each round while no group is
--- a/machine/entry.go
+++ b/machine/entry.go
@@ -299,6 +299,7 @@
 				Client:    client,
 				Endpoints: func() []group.RankEndpoints { return e.rankEndpoints(name) },
 				OnStatus:  func(status group.Status) { e.observeGroup(name, status) },
+				Urgent:    func() bool { return e.scheduler.Broken(name) },
 				Log:       e.log,
 			}
 			go watcher.Run(ctx)
@@ -358,6 +359,7 @@
 	}
 	e.scheduler.ObserveEntries(service, dispatch.GroupName(status.Group), status.Entries)
 	e.scheduler.ObserveGroup(service, dispatch.GroupName(status.Group), ranks, status.Age)
+	e.scheduler.ObserveFormation(service, dispatch.GroupName(status.Group), status.Broken, status.Age)
 }
 
 // configPollTimeout returns the long-poll timeout for the configuration. It lets the
