--- a/group/candidate.go
+++ b/group/candidate.go
@@ -140,7 +140,7 @@
 		StoreDemand: func(demand []byte) {
 			store.saveAsync(ctx, demand)
 		},
-		Publish: func(status *statusMessage) {
+		Publish: func(status *StatusMessage) {
 			c.Sidecar.learnStatus(status)
 		},
 		Log: c.Log,
--- a/group/gather.go
+++ b/group/gather.go
@@ -23,7 +23,7 @@
 	Planner PlannerInfo            `cbor:"1,keyasint"`
 	To      []foxtailstack.Address `cbor:"2,keyasint,omitempty"`
 	// Status is passed on to all of them, if it is set.
-	Status *statusMessage `cbor:"3,keyasint,omitempty"`
+	Status *StatusMessage `cbor:"3,keyasint,omitempty"`
 }
 
 // gatherReply holds the observations of the sidecars that answered. Ranks mostly have
@@ -62,14 +62,18 @@
 	Slowdown float32
 }
 
-// gathered is the result of Gather.
-type gathered struct {
-	// observations holds those of the members that answered, without samples.
-	observations map[Member]Observation
-	sample       Sample
-	lacksTable   bool
-	fenced       bool
-	entries      int
+// Gathered is the result of Gather.
+type Gathered struct {
+	// Observations holds those of the members that answered, without samples.
+	Observations map[Member]Observation
+	// Sample is the sum of the samples.
+	Sample Sample
+	// LacksTable is set if a member does not know the table of ranks of the status.
+	LacksTable bool
+	// Fenced is set if a member has seen a newer planner.
+	Fenced bool
+	// Entries is the number of entries that ask the members for the status.
+	Entries int
 }
 
 // add adds the observation of the sidecar with an index.
@@ -148,7 +152,7 @@
 }
 
 // Gather observes the peer and the members in to through the peer's sidecar.
-func (p *Peer) Gather(ctx context.Context, to []Member, withSample bool, status *statusMessage) (gathered, error) {
+func (p *Peer) Gather(ctx context.Context, to []Member, withSample bool, status *StatusMessage) (Gathered, error) {
 	request := gatherRequest{
 		Planner: p.Planner,
 		Status:  status,
@@ -157,14 +161,14 @@
 	_, request.To = membersBySidecar(p, to)
 	reply, err := p.gather(ctx, request)
 	if err != nil {
-		return gathered{}, err
+		return Gathered{}, err
 	}
-	result := gathered{
-		observations: make(map[Member]Observation, len(reply.Ranks)),
-		sample:       reply.Sample,
-		lacksTable:   reply.LacksTable,
-		fenced:       reply.Fenced,
-		entries:      reply.Entries,
+	result := Gathered{
+		Observations: make(map[Member]Observation, len(reply.Ranks)),
+		Sample:       reply.Sample,
+		LacksTable:   reply.LacksTable,
+		Fenced:       reply.Fenced,
+		Entries:      reply.Entries,
 	}
 	members := branch{
 		head: p,
@@ -173,7 +177,7 @@
 	for _, r := range reply.Ranks {
 		observation, ok := reply.observation(r)
 		if ok && r.Index >= 0 && r.Index < len(members) {
-			result.observations[members[r.Index]] = observation
+			result.Observations[members[r.Index]] = observation
 		}
 	}
 	return result, nil
--- a/group/large_test.go
+++ b/group/large_test.go
@@ -90,7 +90,7 @@
 	}
 	for name, message := range map[string]any{
 		"observations": &reply,
-		"status":       newStatusMessage(status).withoutTable(),
+		"status":       NewStatusMessage(status).withoutTable(),
 	} {
 		data, err := encode(message)
 		if err != nil {
--- a/group/message_test.go
+++ b/group/message_test.go
@@ -30,7 +30,7 @@
 		},
 		{
 			name:    "status",
-			message: &statusMessage{},
+			message: &StatusMessage{},
 		},
 		{
 			name:    "statusanswer",
--- a/group/planner.go
+++ b/group/planner.go
@@ -67,7 +67,7 @@
 	// of map.
 	StoreDemand func(demand []byte)
 	// Publish is called with the status for entries after each survey.
-	Publish func(status *statusMessage)
+	Publish func(status *StatusMessage)
 	Log     *zap.Logger
 
 	roster roster
@@ -101,7 +101,7 @@
 	sampleBytes int
 	// status is the status of the last survey, published at publishedAt. The next survey
 	// passes it on, with its table of ranks if sendTable is set.
-	status      *statusMessage
+	status      *StatusMessage
 	publishedAt time.Time
 	sendTable   bool
 	// fanOut, if it is not zero, replaces treeFanOut.
@@ -195,7 +195,7 @@
 
 // publish publishes the status of a survey, here and with the next survey.
 func (p *Planner) publish(survey *Survey) {
-	status := newStatusMessage(&Status{
+	status := NewStatusMessage(&Status{
 		Group:   p.Name,
 		Ranks:   survey.rankStatuses(),
 		Entries: survey.entries,
--- a/group/relay.go
+++ b/group/relay.go
@@ -32,7 +32,7 @@
 	// Gather observes the member and those in to. It returns the observations of those
 	// that answered, and the sum of the samples if withSample is set. A non-nil status
 	// is passed on to all of them.
-	Gather(ctx context.Context, to []Member, withSample bool, status *statusMessage) (gathered, error)
+	Gather(ctx context.Context, to []Member, withSample bool, status *StatusMessage) (Gathered, error)
 }
 
 // forwardRequest is an order with the sidecars to which it is to be forwarded.
--- a/group/simmember_test.go
+++ b/group/simmember_test.go
@@ -275,7 +275,7 @@
 		Members:     func() []Member { return members },
 		GroupConfig: func() *route.Group { return simConfig },
 		StoreDemand: func([]byte) {},
-		Publish:     func(*statusMessage) {},
+		Publish:     func(*StatusMessage) {},
 		Log:         zap.NewNop(),
 		fanOut:      g.fanOut,
 	}
--- a/group/simpeer_test.go
+++ b/group/simpeer_test.go
@@ -85,29 +85,29 @@
 	return false
 }
 
-func (p *simPeer) Gather(ctx context.Context, to []Member, _ bool, _ *statusMessage) (gathered, error) {
+func (p *simPeer) Gather(ctx context.Context, to []Member, _ bool, _ *StatusMessage) (Gathered, error) {
 	ctx, cancel := context.WithTimeout(ctx, gatherTimeout+forwardTime)
 	defer cancel()
 	if !p.connect(ctx) {
-		return gathered{}, errUnreachable
+		return Gathered{}, errUnreachable
 	}
 	messageLost, replyLost := p.forwardOutcome()
 	if messageLost {
-		return gathered{}, errUnreachable
+		return Gathered{}, errUnreachable
 	}
-	result := gathered{observations: make(map[Member]Observation)}
+	result := Gathered{Observations: make(map[Member]Observation)}
 	for _, member := range append([]Member{p}, to...) {
 		peer, ok := member.(*simPeer)
 		if !ok || !peer.reachable() {
 			continue
 		}
 		observation := peer.observation()
-		result.sample = addSamples(result.sample, observation.Sample)
+		result.Sample = addSamples(result.Sample, observation.Sample)
 		observation.Sample = Sample{}
-		result.observations[member] = observation
+		result.Observations[member] = observation
 	}
 	if replyLost {
-		return gathered{}, errUnreachable
+		return Gathered{}, errUnreachable
 	}
 	return result, nil
 }
--- a/group/status.go
+++ b/group/status.go
@@ -50,8 +50,8 @@
 // tableID identifies the addresses of the ranks of a status and their order.
 type tableID uint64
 
-// statusMessage is the form in which a status is sent.
-type statusMessage struct {
+// StatusMessage is the form in which a status is sent.
+type StatusMessage struct {
 	Group Name    `cbor:"1,keyasint"`
 	Table tableID `cbor:"2,keyasint"`
 	// Addresses is the table of ranks. It is left out if the receiver knows it.
@@ -73,13 +73,13 @@
 	Slowdown float32
 }
 
-// newStatusMessage returns the message for a status, with its table of ranks.
-func newStatusMessage(status *Status) *statusMessage {
+// NewStatusMessage returns the message for a status, with its table of ranks.
+func NewStatusMessage(status *Status) *StatusMessage {
 	ranks := slices.Clone(status.Ranks)
 	slices.SortFunc(ranks, func(a, b RankStatus) int {
 		return compareAddresses(a.Address, b.Address)
 	})
-	message := &statusMessage{
+	message := &StatusMessage{
 		Group:   status.Group,
 		Age:     status.Age,
 		Entries: status.Entries,
@@ -118,7 +118,7 @@
 }
 
 // withoutTable returns a copy of the message without the table of ranks.
-func (m *statusMessage) withoutTable() *statusMessage {
+func (m *StatusMessage) withoutTable() *StatusMessage {
 	short := *m
 	short.Addresses = nil
 	return &short
@@ -126,7 +126,7 @@
 
 // status returns the status that the message stands for, given its table of ranks. It
 // returns false if the two do not fit.
-func (m *statusMessage) status(addresses []foxtailstack.Address) (Status, bool) {
+func (m *StatusMessage) status(addresses []foxtailstack.Address) (Status, bool) {
 	const bytesPerRank = 2
 	if len(m.Loads) != bytesPerRank*len(addresses) {
 		return Status{}, false
@@ -158,13 +158,13 @@
 // statusReply is the answer of a sidecar to an entry: the status, or nil if it has none
 // that is recent.
 type statusReply struct {
-	Status *statusMessage `cbor:"1,keyasint,omitempty"`
+	Status *StatusMessage `cbor:"1,keyasint,omitempty"`
 }
 
 // knownStatus is what a sidecar knows of the status of its group.
 type knownStatus struct {
 	// message is the last status, without its table of ranks; nil if there is none.
-	message *statusMessage
+	message *StatusMessage
 	// observedAt is the time of the survey that it is from.
 	observedAt time.Time
 	// table is the last table of ranks.
@@ -174,7 +174,7 @@
 
 // learn records a status received now. It returns false if its table of ranks is not
 // known.
-func (k *knownStatus) learn(message *statusMessage, now time.Time) bool {
+func (k *knownStatus) learn(message *StatusMessage, now time.Time) bool {
 	if message.Addresses != nil {
 		k.table = message.Table
 		k.addresses = message.Addresses
@@ -204,7 +204,7 @@
 
 // learnStatus records a status from the planner. It returns false if the sidecar does
 // not know its table of ranks. It ignores nil.
-func (s *Sidecar) learnStatus(message *statusMessage) bool {
+func (s *Sidecar) learnStatus(message *StatusMessage) bool {
 	if message == nil {
 		return true
 	}
--- a/group/survey.go
+++ b/group/survey.go
@@ -63,7 +63,7 @@
 	// withSamples asks for samples.
 	withSamples bool
 	// status is passed on to the members, if it is set.
-	status *statusMessage
+	status *StatusMessage
 	// grace, if it is not zero, is how long to wait for the last member after all others
 	// have answered.
 	grace time.Duration
@@ -132,23 +132,23 @@
 
 // addGathered adds the result of observing a branch through its head, and returns the
 // members that are missing from it.
-func (s *surveyor) addGathered(members []Member, result gathered, err error) []Member {
+func (s *surveyor) addGathered(members []Member, result Gathered, err error) []Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.survey.Fenced = s.survey.Fenced || result.fenced || isFenced(err)
-	s.survey.lacksTable = s.survey.lacksTable || result.lacksTable
-	s.survey.entries += result.entries
+	s.survey.Fenced = s.survey.Fenced || result.Fenced || isFenced(err)
+	s.survey.lacksTable = s.survey.lacksTable || result.LacksTable
+	s.survey.entries += result.Entries
 	var missing []Member
 	for _, member := range members {
-		observation, ok := result.observations[member]
+		observation, ok := result.Observations[member]
 		if !ok {
 			missing = append(missing, member)
 			continue
 		}
 		s.survey.add(s.name, member, observation, nil)
 	}
-	if result.sample.Levels != nil {
-		s.survey.Samples = append(s.survey.Samples, result.sample)
+	if result.Sample.Levels != nil {
+		s.survey.Samples = append(s.survey.Samples, result.Sample)
 	}
 	s.countAnswers(len(members) - len(missing))
 	return missing
--- a/group/watcher.go
+++ b/group/watcher.go
@@ -192,7 +192,7 @@
 // recordStatus updates the known groups from the status that a sidecar has sent, and
 // returns it. It returns false if its table of ranks is not known; the next query then
 // asks for that.
-func (w *Watcher) recordStatus(query statusQuery, message *statusMessage) (Status, bool) {
+func (w *Watcher) recordStatus(query statusQuery, message *StatusMessage) (Status, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	group, known := w.groups[message.Group]
--- a/group/watcher_test.go
+++ b/group/watcher_test.go
@@ -47,7 +47,7 @@
 			sidecars = append(sidecars, sidecar)
 		}
 		for _, sidecar := range sidecars {
-			if !sidecar.learnStatus(newStatusMessage(status)) {
+			if !sidecar.learnStatus(NewStatusMessage(status)) {
 				t.Fatal("a status with its table of ranks is not understood")
 			}
 		}
@@ -94,7 +94,7 @@
 	var endpoints []RankEndpoints
 	for _, rank := range status.Ranks {
 		sidecar := &Sidecar{Log: zap.NewNop()}
-		message := newStatusMessage(status)
+		message := NewStatusMessage(status)
 		if rank.Address == "cut" {
 			message.Age = maxStatusAge - 50*time.Millisecond
 		}
