Split the planner, the switch and the placement by what they do

The meters of passes and of orders, the choice of a map with its model of passes, the ends of open switches, and what callers of the placement see are files of their own now. Only moved: the package's tests pass, and nothing else changed.

--- a/group/planner.go
+++ b/group/planner.go
@@ -18,13 +18,6 @@
 	// after a shift of demand.
 	surveyInterval      = 100 * time.Millisecond
 	shiftSurveyInterval = 60 * time.Millisecond
-	// relaxedPassFraction is the fraction of the longest gap between events that callers
-	// allow up to which passes may be expected to take under a map that is less even than
-	// the search finds. relaxedTargetImbalances apply to such maps.
-	relaxedPassFraction = 0.65
-	// maxCopiesFraction is the share of the new experts that a rank may have in all layer
-	// sets together up to which it gets some.
-	maxCopiesFraction = 0.5
 	// stopGrace is the time that a planner which is told to stop has to
 	// complete a switch.
 	stopGrace = 2 * time.Second
@@ -42,15 +35,8 @@
 	// sampleBytesPerSecond bounds what the samples take of the link of the planner's
 	// machine while the demand is steady.
 	sampleBytesPerSecond = 80_000
-	// rememberedRounds is the number of orders to all ranks from which the time of the
-	// next is expected.
-	rememberedRounds = 4
 )
 
-// relaxedTargetImbalances are the target imbalances of maps that are less even than the
-// search finds, in the order in which they are tried.
-var relaxedTargetImbalances = []float64{1.22}
-
 // Planner changes the expert maps of one group as long as its sidecar is
 // elected. Its exported fields must be set before Run is called.
 type Planner struct {
@@ -442,145 +428,3 @@
 	defer context.AfterFunc(ctx, func() { time.AfterFunc(stopGrace, cancel) })()
 	return s.switchTo(stopping, version)
 }
-
-// mapPlan is a map that may replace the present one.
-type mapPlan struct {
-	layers []foxtailstack.ExpertLayer
-	// skewBefore and skewAfter are the skews under the present and the new map,
-	// averaged over the layer sets.
-	skewBefore, skewAfter float64
-	copies                int
-	// target is the target imbalance of the new map, passTime the expected duration of a
-	// pass under it; zero if it is not known.
-	target   float64
-	passTime time.Duration
-}
-
-// passModel predicts the duration of passes under other maps.
-type passModel struct {
-	// passTime is the present duration of a pass, under a map with the given skew.
-	passTime time.Duration
-	skew     float64
-	// expertTime is the part of it that the experts take, at that skew.
-	expertTime time.Duration
-}
-
-// newPassModel returns a model from the present duration of a pass and the mean number of
-// requests at a rank.
-func newPassModel(config *route.Group, passTime time.Duration, running, skew float64) passModel {
-	perSequence := time.Duration(config.TokenStepsPerPass) * config.TokenStepTimePerSequence
-	expertTime := time.Duration(config.ExpertShare * running * skew * float64(perSequence))
-	return passModel{
-		passTime:   passTime,
-		skew:       skew,
-		expertTime: min(expertTime, passTime),
-	}
-}
-
-// at returns the duration of a pass under a map with another skew.
-func (m passModel) at(skew float64) time.Duration {
-	return m.passTime - m.expertTime + time.Duration(float64(m.expertTime)*skew/m.skew)
-}
-
-// targetImbalance returns the target imbalance of a new map: the highest with which passes
-// are expected to take no more than relaxedPassFraction of the gap between events that
-// callers allow. A less even map needs fewer copies, which make passes longer and
-// delay it.
-func (m passModel) targetImbalance(config *route.Group) float64 {
-	if m.passTime == 0 {
-		return minTargetImbalance
-	}
-	limit := time.Duration(relaxedPassFraction * float64(config.MaxEventGap))
-	for _, target := range relaxedTargetImbalances {
-		if m.at(target) <= limit {
-			return target
-		}
-	}
-	return minTargetImbalance
-}
-
-// planMap returns the best map found for the present demand estimate. running is the mean
-// number of requests at a rank.
-func (p *Planner) planMap(config *route.Group, slowdowns []float64, running float64) mapPlan {
-	sets := len(p.layers)
-	demand := func(set int) []float64 { return p.demand.ForSet(set, sets) }
-	plan := mapPlan{}
-	for s, layer := range p.layers {
-		plan.skewBefore += Skew(layer, demand(s), slowdowns) / float64(sets)
-	}
-	model := newPassModel(config, p.passTime, running, plan.skewBefore)
-	plan.target = model.targetImbalance(config)
-	plan.layers = PlaceAll(p.layers, demand, slowdowns, PlacementLimits{
-		ExpertsPerRank:  config.ExpertsPerRank,
-		MaxNewExperts:   config.MaxNewExperts,
-		TargetImbalance: plan.target,
-	}, int(maxCopiesFraction*float64(sets*config.MaxNewExperts)+1))
-	for s, layer := range p.layers {
-		plan.skewAfter += Skew(plan.layers[s], demand(s), slowdowns) / float64(sets)
-		plan.copies += Copies(layer, plan.layers[s])
-	}
-	plan.passTime = model.at(plan.skewAfter)
-	return plan
-}
-
-// roundMeter keeps the times of the last orders to all ranks.
-type roundMeter struct {
-	times []time.Duration
-}
-
-// add adds the time that an order to all ranks has taken.
-func (m *roundMeter) add(d time.Duration) {
-	m.times = append(m.times, d)
-	if len(m.times) > rememberedRounds {
-		m.times = m.times[1:]
-	}
-}
-
-// expected returns the time that the next order to all ranks is expected to take at
-// most, or zero if there was none yet.
-func (m *roundMeter) expected() time.Duration {
-	if len(m.times) == 0 {
-		return 0
-	}
-	return slices.Max(m.times)
-}
-
-// passMeterTime is the least time over which the mean time of passes is measured. Surveys
-// come more often than passes begin, so that the time between two of them says little.
-const passMeterTime = 500 * time.Millisecond
-
-// passReading is the newest pass at a time.
-type passReading struct {
-	at   time.Time
-	step foxtailstack.Step
-}
-
-// passMeter measures the mean time of passes.
-type passMeter struct {
-	// readings holds the last readings at which a new pass had begun. The first of them may
-	// be older than passMeterTime, but not twice as old.
-	readings []passReading
-}
-
-// mean returns the mean time of the passes in the last passMeterTime, or zero if fewer
-// than two have begun since.
-func (m *passMeter) mean(step foxtailstack.Step, now time.Time) time.Duration {
-	n := len(m.readings)
-	if n > 0 && step < m.readings[n-1].step {
-		m.readings = nil // the group has opened anew
-	}
-	if len(m.readings) == 0 || step > m.readings[len(m.readings)-1].step {
-		m.readings = append(m.readings, passReading{
-			at:   now,
-			step: step,
-		})
-	}
-	for len(m.readings) > 1 && (now.Sub(m.readings[1].at) >= passMeterTime || now.Sub(m.readings[0].at) >= 2*passMeterTime) {
-		m.readings = m.readings[1:]
-	}
-	first, last := m.readings[0], m.readings[len(m.readings)-1]
-	if last.step == first.step {
-		return 0
-	}
-	return last.at.Sub(first.at) / time.Duration(last.step-first.step)
-}
