--- a/board/doc.go
+++ /dev/null
@@ -1,7 +0,0 @@
-// Package board shares the rows of a table among entries while the platform's store is
-// away. A sidecar keeps a Board in memory, and entries read and write it through a
-// Client. All entries use the same sidecar as long as they reach it.
-//
-// A board is no storage: it is empty when its process starts, and each entry then writes
-// what it knows again.
-package board
--- a/board/client.go
+++ b/fallback/client.go
@@ -1,4 +1,4 @@
-package board
+package fallback
 
 import (
 	"bytes"
@@ -24,7 +24,7 @@
 	maxReplyBytes = 4 << 20
 )
 
-// Client reads and writes the board of the first of some sidecars that answers. It
+// Client reads and writes the fallback store of the first of some sidecars that answers. It
 // implements foxtailstack.Feed and foxtailstack.RecordWriter for one table, whose name it
 // ignores. Its exported fields must be set before use. A Client must not be copied after
 // first use.
@@ -39,13 +39,13 @@
 	// avoided holds the sidecars that did not answer, with the time from which they are
 	// used again.
 	avoided map[foxtailstack.Address]time.Time
-	// current is the sidecar whose board was read last, and incarnation that board.
+	// current is the sidecar whose store was read last, and incarnation that fallback store.
 	current     foxtailstack.Address
 	incarnation incarnation
 }
 
 // errNoSidecar means that there is no sidecar that may be used.
-var errNoSidecar = fmt.Errorf("%w: no sidecar with a board", foxtailstack.ErrUnavailable)
+var errNoSidecar = fmt.Errorf("%w: no sidecar with a fallback store", foxtailstack.ErrUnavailable)
 
 // choose returns the first sidecar that is not avoided.
 func (c *Client) choose() (foxtailstack.Address, error) {
@@ -75,10 +75,10 @@
 		c.avoided = make(map[foxtailstack.Address]time.Time)
 	}
 	c.avoided[address] = now.Add(avoidTime)
-	c.Log.Info("board lost", zap.String("sidecar", string(address)), zap.Error(err))
+	c.Log.Info("fallback store lost", zap.String("sidecar", string(address)), zap.Error(err))
 }
 
-// Read returns all rows of the board.
+// Read returns all rows of the fallback store.
 func (c *Client) Read(ctx context.Context, _ string) ([]foxtailstack.Record, foxtailstack.StoreVersion, error) {
 	address, err := c.choose()
 	if err != nil {
@@ -93,12 +93,12 @@
 	c.current = address
 	c.incarnation = reply.Incarnation
 	c.mu.Unlock()
-	c.Log.Info("board read", zap.String("sidecar", string(address)), zap.Int("rows", len(reply.Rows)))
+	c.Log.Info("fallback store read", zap.String("sidecar", string(address)), zap.Int("rows", len(reply.Rows)))
 	return reply.records(), foxtailstack.StoreVersion(reply.Version), nil
 }
 
 // Changes returns the rows that changed after a version. It returns
-// foxtailstack.ErrHistoryGone if another board is to be used.
+// foxtailstack.ErrHistoryGone if another fallback store is to be used.
 func (c *Client) Changes(
 	ctx context.Context,
 	_ string,
@@ -128,7 +128,7 @@
 	return reply.records(), foxtailstack.StoreVersion(reply.Version), nil
 }
 
-// Write writes and removes rows of the board.
+// Write writes and removes rows of the fallback store.
 func (c *Client) Write(ctx context.Context, _ string, records []foxtailstack.Record, remove []string) error {
 	address, err := c.choose()
 	if err != nil {
@@ -166,7 +166,7 @@
 
 // call sends a message to a sidecar and decodes the reply unless it is nil. A sidecar
 // that does not answer is avoided. The error wraps foxtailstack.ErrUncertain, or
-// foxtailstack.ErrHistoryGone for a board of another incarnation.
+// foxtailstack.ErrHistoryGone for a fallback store of another incarnation.
 func (c *Client) call(
 	ctx context.Context,
 	address foxtailstack.Address,
@@ -191,13 +191,13 @@
 ) error {
 	body, err := json.Marshal(message)
 	if err != nil {
-		return fmt.Errorf("encode request to board: %w", err)
+		return fmt.Errorf("encode request to fallback store: %w", err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(address)+path, bytes.NewReader(body))
 	if err != nil {
-		return fmt.Errorf("create request to board: %w", err)
+		return fmt.Errorf("create request to fallback store: %w", err)
 	}
 	response, err := c.HTTP.Do(request)
 	if err != nil {
@@ -208,13 +208,13 @@
 	case response.StatusCode == http.StatusGone:
 		return foxtailstack.ErrHistoryGone
 	case response.StatusCode/100 != 2:
-		return fmt.Errorf("%w: board answered with status %d", foxtailstack.ErrUncertain, response.StatusCode)
+		return fmt.Errorf("%w: fallback store answered with status %d", foxtailstack.ErrUncertain, response.StatusCode)
 	case reply == nil:
 		return nil
 	}
 	err = json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(reply)
 	if err != nil {
-		return fmt.Errorf("%w: decode reply of board: %w", foxtailstack.ErrUncertain, err)
+		return fmt.Errorf("%w: decode reply of fallback store: %w", foxtailstack.ErrUncertain, err)
 	}
 	return nil
 }
--- a/board/board.go
+++ b/fallback/store.go
@@ -1,4 +1,4 @@
-package board
+package fallback
 
 import (
 	"encoding/json"
@@ -8,17 +8,17 @@
 	"time"
 )
 
-// Paths of the requests to a board.
+// Paths of the requests to a fallback store.
 const (
-	PathRead    = "/board/read"
-	PathChanges = "/board/changes"
-	PathWrite   = "/board/write"
+	PathRead    = "/fallback/read"
+	PathChanges = "/fallback/changes"
+	PathWrite   = "/fallback/write"
 )
 
 const (
-	// rowTTL is how long a board keeps a row, or the removal of one, after it was written.
+	// rowTTL is how long a fallback store keeps a row, or the removal of one, after it was written.
 	rowTTL = 10 * time.Minute
-	// maxRows is the number of rows and removals that a board keeps. Further ones are
+	// maxRows is the number of rows and removals that a fallback store keeps. Further ones are
 	// refused.
 	maxRows = 1 << 12
 	// maxWait bounds the wait for changes.
@@ -27,13 +27,13 @@
 	maxRequestBytes = 1 << 20
 )
 
-// version numbers the changes of a board.
+// version numbers the changes of a fallback store.
 type version uint64
 
-// incarnation identifies the process that keeps a board.
+// incarnation identifies the process that keeps a fallback store.
 type incarnation uint64
 
-// row is a row of a board.
+// row is a row of a fallback store.
 type row struct {
 	Name    string `json:"name"`
 	Value   []byte `json:"value,omitempty"`
@@ -46,7 +46,7 @@
 }
 
 // changesRequest asks for the rows that changed after a version of an incarnation. The
-// board answers once there are some, or after Wait.
+// store answers once there are some, or after Wait.
 type changesRequest struct {
 	Incarnation incarnation   `json:"incarnation"`
 	After       version       `json:"after"`
@@ -67,9 +67,9 @@
 	writtenAt time.Time
 }
 
-// Board keeps rows in memory. The zero value is empty. A Board must not be copied after
+// Store keeps rows in memory. The zero value is empty. A Store must not be copied after
 // first use.
-type Board struct {
+type Store struct {
 	mu          sync.Mutex
 	incarnation incarnation
 	version     version
@@ -78,91 +78,91 @@
 	changed chan struct{}
 }
 
-// Register adds the handlers of the board.
-func (b *Board) Register(handle func(pattern string, handler http.HandlerFunc, methods ...string)) {
-	handle(PathRead, b.serveRead, http.MethodPost)
-	handle(PathChanges, b.serveChanges, http.MethodPost)
-	handle(PathWrite, b.serveWrite, http.MethodPost)
+// Register adds the handlers of the fallback store.
+func (s *Store) Register(handle func(pattern string, handler http.HandlerFunc, methods ...string)) {
+	handle(PathRead, s.serveRead, http.MethodPost)
+	handle(PathChanges, s.serveChanges, http.MethodPost)
+	handle(PathWrite, s.serveWrite, http.MethodPost)
 }
 
 // start sets the incarnation at the first use. The caller holds mu.
-func (b *Board) start() {
-	if b.incarnation == 0 {
-		b.incarnation = incarnation(1 + rand.Uint64N(1<<62))
-		b.rows = make(map[string]storedRow)
+func (s *Store) start() {
+	if s.incarnation == 0 {
+		s.incarnation = incarnation(1 + rand.Uint64N(1<<62))
+		s.rows = make(map[string]storedRow)
 	}
 }
 
 // write writes rows. Rows that are the same already are no change. It returns false if
-// the board is full.
-func (b *Board) write(rows []row, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.start()
-	b.expire(now)
+// the fallback store is full.
+func (s *Store) write(rows []row, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.start()
+	s.expire(now)
 	changed := false
 	for _, r := range rows {
-		old, ok := b.rows[r.Name]
+		old, ok := s.rows[r.Name]
 		if ok && old.Deleted == r.Deleted {
 			continue
 		}
-		if !ok && len(b.rows) >= maxRows {
+		if !ok && len(s.rows) >= maxRows {
 			return false
 		}
-		b.version++
-		b.rows[r.Name] = storedRow{
+		s.version++
+		s.rows[r.Name] = storedRow{
 			row:       r,
-			version:   b.version,
+			version:   s.version,
 			writtenAt: now,
 		}
 		changed = true
 	}
-	if changed && b.changed != nil {
-		close(b.changed)
-		b.changed = nil
+	if changed && s.changed != nil {
+		close(s.changed)
+		s.changed = nil
 	}
 	return true
 }
 
 // expire drops rows that are older than rowTTL. The caller holds mu.
-func (b *Board) expire(now time.Time) {
-	for name, r := range b.rows {
+func (s *Store) expire(now time.Time) {
+	for name, r := range s.rows {
 		if now.Sub(r.writtenAt) > rowTTL {
-			delete(b.rows, name)
+			delete(s.rows, name)
 		}
 	}
 }
 
 // after returns the rows that changed after a version, and a channel that is closed at
 // the next change.
-func (b *Board) after(v version) (rowsReply, <-chan struct{}) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.start()
-	if b.changed == nil {
-		b.changed = make(chan struct{})
+func (s *Store) after(v version) (rowsReply, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.start()
+	if s.changed == nil {
+		s.changed = make(chan struct{})
 	}
 	reply := rowsReply{
-		Incarnation: b.incarnation,
-		Version:     b.version,
+		Incarnation: s.incarnation,
+		Version:     s.version,
 	}
-	for _, r := range b.rows {
+	for _, r := range s.rows {
 		if r.version > v {
 			reply.Rows = append(reply.Rows, r.row)
 		}
 	}
-	return reply, b.changed
+	return reply, s.changed
 }
 
 // serveRead answers with all rows.
-func (b *Board) serveRead(w http.ResponseWriter, _ *http.Request) {
-	reply, _ := b.after(0)
+func (s *Store) serveRead(w http.ResponseWriter, _ *http.Request) {
+	reply, _ := s.after(0)
 	writeReply(w, reply)
 }
 
 // serveChanges answers with the rows that changed, as soon as there are some. It answers
 // with status 410 if the request is for another incarnation.
-func (b *Board) serveChanges(w http.ResponseWriter, r *http.Request) {
+func (s *Store) serveChanges(w http.ResponseWriter, r *http.Request) {
 	var request changesRequest
 	if !decodeRequest(w, r, &request) {
 		return
@@ -170,7 +170,7 @@
 	timer := time.NewTimer(min(request.Wait, maxWait))
 	defer timer.Stop()
 	for {
-		reply, changed := b.after(request.After)
+		reply, changed := s.after(request.After)
 		if reply.Incarnation != request.Incarnation {
 			w.WriteHeader(http.StatusGone)
 			return
@@ -191,12 +191,12 @@
 }
 
 // serveWrite writes and removes rows.
-func (b *Board) serveWrite(w http.ResponseWriter, r *http.Request) {
+func (s *Store) serveWrite(w http.ResponseWriter, r *http.Request) {
 	var request writeRequest
 	if !decodeRequest(w, r, &request) {
 		return
 	}
-	if !b.write(request.Rows, time.Now()) {
+	if !s.write(request.Rows, time.Now()) {
 		w.WriteHeader(http.StatusInsufficientStorage)
 		return
 	}
--- a/board/board_test.go
+++ b/fallback/store_test.go
@@ -1,4 +1,4 @@
-package board
+package fallback
 
 import (
 	"context"
@@ -17,11 +17,11 @@
 // testWait is how long the clients of a test wait for changes.
 const testWait = 200 * time.Millisecond
 
-// startSidecar serves a board and returns its address and a function that ends it.
+// startSidecar serves a fallback store and returns its address and a function that ends it.
 func startSidecar(t *testing.T) (foxtailstack.Address, func()) {
 	t.Helper()
 	mux := http.NewServeMux()
-	b := &Board{}
+	b := &Store{}
 	b.Register(func(pattern string, handler http.HandlerFunc, _ ...string) { mux.HandleFunc(pattern, handler) })
 	server := httptest.NewServer(mux)
 	stop := func() {
@@ -60,7 +60,7 @@
 	ctx := t.Context()
 	_, after, err := reader.Read(ctx, "")
 	if err != nil {
-		t.Fatal("read empty board:", err)
+		t.Fatal("read empty fallback store:", err)
 	}
 	err = writer.Write(ctx, "", []foxtailstack.Record{{Name: "a"}, {Name: "b"}}, nil)
 	if err != nil {
@@ -94,7 +94,7 @@
 }
 
 // Guards against entries that stay with a sidecar that has gone, or go on with the version
-// of the former board: they have to read the next board anew.
+// of the former fallback store: they have to read the next fallback store anew.
 func TestClientMovesToNextSidecar(t *testing.T) {
 	first, stop := startSidecar(t)
 	second, _ := startSidecar(t)
@@ -102,7 +102,7 @@
 	ctx := t.Context()
 	_, after, err := client.Read(ctx, "")
 	if err != nil {
-		t.Fatal("read board:", err)
+		t.Fatal("read fallback store:", err)
 	}
 	stop()
 	_, _, err = client.Changes(ctx, "", after, testWait)
@@ -115,26 +115,26 @@
 	}
 	_, _, err = client.Read(ctx, "")
 	if err != nil {
-		t.Errorf("read the next board: %v", err)
+		t.Errorf("read the next fallback store: %v", err)
 	}
 }
 
-// Guards against a long poll that outlives its caller, and against boards without bounds.
-func TestBoardIsBounded(t *testing.T) {
-	var b Board
+// Guards against a long poll that outlives its caller, and against fallback stores without bounds.
+func TestStoreIsBounded(t *testing.T) {
+	var b Store
 	now := time.Now()
 	rows := make([]row, maxRows)
 	for i := range rows {
 		rows[i].Name = string(rune(0x1000 + i))
 	}
 	if !b.write(rows, now) {
-		t.Errorf("a board refuses %d rows", maxRows)
+		t.Errorf("a fallback store refuses %d rows", maxRows)
 	}
 	if b.write([]row{{Name: "one more"}}, now) {
-		t.Errorf("a board takes more than %d rows", maxRows)
+		t.Errorf("a fallback store takes more than %d rows", maxRows)
 	}
 	if !b.write([]row{{Name: "one more"}}, now.Add(rowTTL+time.Second)) {
-		t.Error("a board refuses a row after the others have expired")
+		t.Error("a fallback store refuses a row after the others have expired")
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), testWait)
 	defer cancel()
@@ -142,7 +142,7 @@
 	client := newClient(sidecar)
 	_, after, err := client.Read(ctx, "")
 	if err != nil {
-		t.Fatal("read board:", err)
+		t.Fatal("read fallback store:", err)
 	}
 	began := time.Now()
 	_, _, err = client.Changes(ctx, "", after, maxWait)
--- a/logbook/events_test.go
+++ b/logbook/events_test.go
@@ -22,7 +22,7 @@
 		t.Fatal(err)
 	}
 	seen := 0
-	for _, folder := range []string{"board", "dispatch", "gateway", "group", "quarantine", "watch", "machine"} {
+	for _, folder := range []string{"dispatch", "fallback", "gateway", "group", "quarantine", "watch", "machine"} {
 		paths, err := filepath.Glob(filepath.Join("..", folder, "*.go"))
 		if err != nil {
 			t.Fatal(err)
--- a/machine/entry.go
+++ b/machine/entry.go
@@ -13,9 +13,9 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/alexedwards/flow"
 	"github.com/foxtailstack/foxtailstack"
-	"github.com/foxtailstack/foxtailstack/board"
 	"github.com/foxtailstack/foxtailstack/dispatch"
 	"github.com/foxtailstack/foxtailstack/exchange"
+	"github.com/foxtailstack/foxtailstack/fallback"
 	"github.com/foxtailstack/foxtailstack/gateway"
 	"github.com/foxtailstack/foxtailstack/group"
 	"github.com/foxtailstack/foxtailstack/internal/clock"
@@ -45,15 +45,15 @@
 	minFleetPauseFraction = 1.0 / 64
 	maxFleetPauseFraction = 1.0 / 8
 	// crashPollTimeout is the long-poll timeout for the crashes in the store. Those that
-	// matter at once come over the board as well.
+	// matter at once come over the fallback store as well.
 	crashPollTimeout = 20 * time.Second
 	// crashChangePause is the pause after changes to them: all entries that had requests
 	// at an upstream record its crash.
 	crashChangePause = 20 * time.Millisecond
-	// boardPollTimeout is the long-poll timeout for the crashes on the board of a sidecar.
-	boardPollTimeout = 10 * time.Second
-	// boardTable is the name by which the log calls that board.
-	boardTable = "board"
+	// fallbackPollTimeout is the long-poll timeout for the crashes on the fallback store of a sidecar.
+	fallbackPollTimeout = 10 * time.Second
+	// fallbackTable is the name by which the log calls that store.
+	fallbackTable = "fallback"
 	// drainDelay is the longest time that an entry still accepts connections after the
 	// request to stop, so that the platform can see that it is not ready and stop sending
 	// callers. The time is half the grace period if that is shorter.
@@ -86,7 +86,7 @@
 	scheduler         *dispatch.Scheduler
 	pool              *exchange.Pool
 	crashes           *quarantine.Table
-	board             *board.Client
+	fallback          *fallback.Client
 	gateway           *gateway.Gateway
 	callerListener    net.Listener
 	readinessListener net.Listener
@@ -107,13 +107,13 @@
 		Fleet: e.view.Fleet,
 		Log:   log,
 	}
-	e.board = &board.Client{
+	e.fallback = &fallback.Client{
 		HTTP:     newPeerClient(),
 		Sidecars: e.groupSidecars,
 		Log:      log,
 	}
 	e.crashes = &quarantine.Table{
-		Board:     e.board,
+		Fallback:  e.fallback,
 		List:      &quarantine.List{},
 		Writer:    e.store,
 		Name:      platform.TableCrashes,
@@ -262,20 +262,20 @@
 		Now:             clock.Boot,
 		Log:             e.log,
 	}
-	boardFollower := &watch.Follower{
-		Feed:            e.board,
-		Table:           boardTable,
-		LongPollTimeout: boardPollTimeout,
+	fallbackFollower := &watch.Follower{
+		Feed:            e.fallback,
+		Table:           fallbackTable,
+		LongPollTimeout: fallbackPollTimeout,
 		ChangePause:     crashChangePause,
-		Replace:         e.crashes.BoardReplaced,
-		Update:          e.crashes.BoardChanged,
+		Replace:         e.crashes.FallbackReplaced,
+		Update:          e.crashes.FallbackChanged,
 		Now:             clock.Boot,
-		Log:             zap.NewNop(), // the client logs whether it reaches a board
+		Log:             zap.NewNop(), // the client logs whether it reaches one
 	}
 	go configFollower.Run(ctx)
 	go fleetFollower.Run(ctx)
 	go crashFollower.Run(ctx)
-	go boardFollower.Run(ctx)
+	go fallbackFollower.Run(ctx)
 	go e.crashes.Run(ctx)
 }
 
--- a/machine/sidecar.go
+++ b/machine/sidecar.go
@@ -12,7 +12,7 @@
 
 	"github.com/alexedwards/flow"
 	"github.com/foxtailstack/foxtailstack"
-	"github.com/foxtailstack/foxtailstack/board"
+	"github.com/foxtailstack/foxtailstack/fallback"
 	"github.com/foxtailstack/foxtailstack/group"
 	"github.com/foxtailstack/foxtailstack/internal/clock"
 	"github.com/foxtailstack/foxtailstack/platform"
@@ -40,7 +40,7 @@
 	client          *http.Client
 	rank            *platform.Rank
 	group           *group.Sidecar
-	board           board.Board
+	fallback        fallback.Store
 	peerListener    net.Listener
 	metricsListener net.Listener
 	// fleetRead is true if the list of upstreams has been read since this sidecar last
@@ -87,7 +87,7 @@
 	s.log.Info("sidecar started", zap.String("upstream", string(s.settings.UpstreamAddress)))
 	peers := flow.New()
 	s.group.Register(peers.HandleFunc)
-	s.board.Register(peers.HandleFunc)
+	s.fallback.Register(peers.HandleFunc)
 	server := &http.Server{
 		Handler:           peers,
 		ReadHeaderTimeout: headerTimeout,
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -29,11 +29,11 @@
 	// Writer and Name are the store and the table.
 	Writer foxtailstack.RecordWriter
 	Name   string
-	// MaxWrites is the number of rows that Writer and Board take in one call.
+	// MaxWrites is the number of rows that Writer and Fallback take in one call.
 	MaxWrites int
-	// Board, unless it is nil, is a second place for the rows, for the time in which the
-	// store is away. Its rows are received with BoardReplaced and BoardChanged.
-	Board foxtailstack.RecordWriter
+	// Fallback, unless it is nil, is a second place for the rows, for the time in which the
+	// store is away. Its rows are received with FallbackReplaced and FallbackChanged.
+	Fallback foxtailstack.RecordWriter
 	// Instance is the name of this entry. It stands in the rows for diagnosis.
 	Instance foxtailstack.InstanceName
 	Log      *zap.Logger
@@ -43,9 +43,9 @@
 	rows map[string]struct{}
 	// era is that of the store when the table was read last.
 	era uint64
-	// toStore and toBoard hold the rows that are to be written to Writer and Board.
-	toStore outbox
-	toBoard outbox
+	// toStore and toFallback hold the rows that are to be written to Writer and Fallback.
+	toStore    outbox
+	toFallback outbox
 }
 
 // Report records crashes and shares them.
@@ -115,8 +115,8 @@
 	if t.Writer != nil {
 		t.toStore.add(row, write)
 	}
-	if t.Board != nil {
-		t.toBoard.add(row, write)
+	if t.Fallback != nil {
+		t.toFallback.add(row, write)
 	}
 }
 
@@ -215,8 +215,8 @@
 	return true
 }
 
-// BoardChanged receives the rows of the board that changed.
-func (t *Table) BoardChanged(records []foxtailstack.Record, _ foxtailstack.StoreVersion) {
+// FallbackChanged receives the rows of the fallback store that changed.
+func (t *Table) FallbackChanged(records []foxtailstack.Record, _ foxtailstack.StoreVersion) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, record := range records {
@@ -230,9 +230,9 @@
 	}
 }
 
-// BoardReplaced receives all rows of a board that is read for the first time. Crashes that
-// are recorded here and not on the board are written to it.
-func (t *Table) BoardReplaced(records []foxtailstack.Record, version foxtailstack.StoreVersion) {
+// FallbackReplaced receives all rows of a fallback store that is read for the first time. Crashes that
+// are recorded here and not on the fallback store are written to it.
+func (t *Table) FallbackReplaced(records []foxtailstack.Record, version foxtailstack.StoreVersion) {
 	present := make(map[string]bool, len(records))
 	for _, record := range records {
 		present[record.Name] = true
@@ -240,10 +240,10 @@
 	for _, c := range t.List.All() {
 		row := rowName(c)
 		if !present[row] {
-			t.toBoard.add(row, true)
+			t.toFallback.add(row, true)
 		}
 	}
-	t.BoardChanged(records, version)
+	t.FallbackChanged(records, version)
 }
 
 // forget removes the crash of a row from the List, or what only that row says of its kind
@@ -291,9 +291,9 @@
 		log:       t.Log,
 	}
 	go t.toStore.run(ctx, to)
-	if t.Board != nil {
-		to.writer = t.Board
-		go t.toBoard.run(ctx, to)
+	if t.Fallback != nil {
+		to.writer = t.Fallback
+		go t.toFallback.run(ctx, to)
 	}
 	for clock.Sleep(ctx, sweepInterval/2+rand.N(sweepInterval)) == nil {
 		t.sweep()
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -356,9 +356,9 @@
 }
 
 // Guards against crashes that only the entry that found them knows while the store is away:
-// they pass over the board, also to one that is read later, and so does their removal.
-func TestTableSharesCrashesOverBoard(t *testing.T) {
-	finder, other := newBoardTable(t), newBoardTable(t)
+// they pass over the fallback store, also to one that is read later, and so does their removal.
+func TestTableSharesCrashesOverFallback(t *testing.T) {
+	finder, other := newFallbackTable(t), newFallbackTable(t)
 	crash := Crash{
 		Fingerprint: Fingerprint{7},
 		Kind:        KindRequest,
@@ -367,24 +367,24 @@
 	}
 	finder.Report([]Crash{crash})
 	row := foxtailstack.Record{Name: rowName(crash)}
-	other.BoardChanged([]foxtailstack.Record{row}, 1)
+	other.FallbackChanged([]foxtailstack.Record{row}, 1)
 	if !other.List.Has(crash) {
-		t.Error("a crash on the board is not recorded")
+		t.Error("a crash on the fallback store is not recorded")
 	}
-	other.toBoard = outbox{}
-	other.BoardReplaced(nil, 1)
-	if _, write := other.toBoard.state(row.Name); !write {
-		t.Error("a crash that an empty board lacks is not written to it")
+	other.toFallback = outbox{}
+	other.FallbackReplaced(nil, 1)
+	if _, write := other.toFallback.state(row.Name); !write {
+		t.Error("a crash that an empty fallback store lacks is not written to it")
 	}
 	row.Deleted = true
-	other.BoardChanged([]foxtailstack.Record{row}, 2)
+	other.FallbackChanged([]foxtailstack.Record{row}, 2)
 	if other.List.Has(crash) {
-		t.Error("a crash that was removed from the board is still recorded")
+		t.Error("a crash that was removed from the fallback store is still recorded")
 	}
 	other.Update([]foxtailstack.Record{{Name: row.Name}}, 3)
-	other.BoardChanged([]foxtailstack.Record{row}, 4)
+	other.FallbackChanged([]foxtailstack.Record{row}, 4)
 	if !other.List.Has(crash) {
-		t.Error("a crash that the store holds was removed with its row on the board")
+		t.Error("a crash that the store holds was removed with its row on the fallback store")
 	}
 }
 
@@ -395,13 +395,13 @@
 	return foxtailstack.ErrUnavailable
 }
 
-// newBoardTable returns a table with a store and a board that take no rows.
-func newBoardTable(t *testing.T) *Table {
+// newFallbackTable returns a table with a store and a fallback store that take no rows.
+func newFallbackTable(t *testing.T) *Table {
 	t.Helper()
 	return &Table{
-		List:   &List{},
-		Writer: noWriter{},
-		Board:  noWriter{},
-		Log:    zap.NewNop(),
+		List:     &List{},
+		Writer:   noWriter{},
+		Fallback: noWriter{},
+		Log:      zap.NewNop(),
 	}
 }
