Count what sidecars do not forward

Two counters tell how many ranks a planner had to call itself, for orders and for observations, since the sidecar that should have forwarded did not answer for them.

--- a/group/planner.go
+++ b/group/planner.go
@@ -76,8 +76,8 @@
 	settled bool
 	// surveyNow is set if the next survey is due at once.
 	surveyNow bool
-	// passTime is the mean time of a pass between the last two surveys; zero if
-	// the group was idle.
+	// passTime is the mean time of the passes in the last passMeterTime; zero if the
+	// group was idle.
 	passTime time.Duration
 	passes   passMeter
 	// rounds holds the times that orders to all ranks have taken.
--- a/group/survey.go
+++ b/group/survey.go
@@ -116,6 +116,7 @@
 	if ok {
 		result, err := head.Gather(ctx, branch.rest, withSample, s.status)
 		missing = s.addGathered(missing, result, err)
+		directObservationsTotal.Add(len(missing))
 	}
 	var wg sync.WaitGroup
 	for _, member := range missing {
--- a/group/switch.go
+++ b/group/switch.go
@@ -321,6 +321,7 @@
 		head, ok := branch.head.(Forwarder)
 		if ok {
 			pending = head.Forward(ctx, order, branch.rest)
+			unconfirmedOrdersTotal.Add(len(pending))
 		}
 		return concurrently(pending, func(member Member) error {
 			return s.orderUntilDone(ctx, member, member, order)
