Refuse at once in an outage that lasts

Now requests for groups that are all broken, have been for ten seconds and still are by their status are refused as they come. Ranks that crash are back sooner, so that shorter outages are served from the queue as before.

Test: TestRequestIsRefusedAtOnceInLastingOutage, also for groups that never worked; it failed without the rule (the request was sent to a rank).

--- a/dispatch/breaker.go
+++ b/dispatch/breaker.go
@@ -12,6 +12,9 @@
 	// statusLag is how much later than it seems a status may have been taken: its age leaves
 	// out the way here.
 	statusLag = 100 * time.Millisecond
+	// lastingOutage is the time after which a broken group is not expected to work again
+	// while a request waits. Ranks that crash are back sooner.
+	lastingOutage = 10 * time.Second
 )
 
 // circuitBreaker keeps requests away from a group that does not work. While it is
@@ -27,8 +30,10 @@
 	probeSentAt time.Time
 	// closedAt is the time at which the group last began to work again.
 	closedAt time.Time
-	// trippedAt is the time of the last sign that the group is broken.
-	trippedAt time.Time
+	// brokenSince and trippedAt are the times of the first and of the last sign that the
+	// group is broken.
+	brokenSince time.Time
+	trippedAt   time.Time
 	// brokenUntil is the time until which a status that says that the group is broken
 	// counts. No probes are needed until then: a later status shows that it works again.
 	brokenUntil time.Time
@@ -54,6 +59,12 @@
 	return !c.open && now.Sub(c.closedAt) >= d
 }
 
+// lasting reports whether the group has been broken for lastingOutage and its status says
+// that it still is.
+func (c *circuitBreaker) lasting(now time.Time) bool {
+	return c.open && now.Sub(c.brokenSince) >= lastingOutage && now.Before(c.brokenUntil)
+}
+
 // unprobed reports whether the breaker is open and the next probe has been due for a
 // time.
 func (c *circuitBreaker) unprobed(d time.Duration, now time.Time) bool {
@@ -62,6 +73,9 @@
 
 // trip opens the breaker, or keeps it open, and sets the time of the next probe.
 func (c *circuitBreaker) trip(now, probeAt time.Time) {
+	if !c.open {
+		c.brokenSince = now
+	}
 	c.open = true
 	c.trippedAt = now
 	c.probeAt = probeAt
--- a/dispatch/outage_test.go
+++ b/dispatch/outage_test.go
@@ -150,3 +150,37 @@
 		time.Sleep(time.Minute) // lets all goroutines end
 	})
 }
+
+// Guards against requests that each wait for as long as their callers do for a group that has
+// been broken for long, such as one that never opened: they are refused at once, and served
+// again once it works.
+func TestRequestIsRefusedAtOnceInLastingOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		g := &outageGroup{
+			scheduler: newScheduler(4, 12),
+			broken:    true,
+		}
+		reserve(t, g.scheduler, dispatch.Request{Grouped: true}) // while no group is known
+		go g.run(ctx)
+		time.Sleep(20 * time.Second)
+		began := time.Now()
+		request := dispatch.Request{
+			Service: service,
+			Grouped: true,
+		}
+		_, err := g.scheduler.Acquire(ctx, request)
+		var overload *dispatch.OverloadError
+		if !errors.As(err, &overload) || time.Since(began) > 0 {
+			t.Errorf("got error %v after %s, want an overload at once", err, time.Since(began))
+		}
+		g.broken = false
+		time.Sleep(400 * time.Millisecond)
+		_, err = g.scheduler.Acquire(ctx, request)
+		if err != nil {
+			t.Errorf("refused after the group worked again: %v", err)
+		}
+		cancel()
+		time.Sleep(time.Minute) // lets all goroutines end
+	})
+}
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -182,6 +182,21 @@
 	return false
 }
 
+// hopeless reports whether all known groups are broken and have been for long.
+func (q *queue) hopeless(now time.Time) bool {
+	known := 0
+	for group, breaker := range q.breakers {
+		if group == "" {
+			continue
+		}
+		if !breaker.lasting(now) {
+			return false
+		}
+		known++
+	}
+	return known > 0
+}
+
 // loadShare returns this process's load share at a group.
 func (q *queue) loadShare(group GroupName) *loadShare {
 	return getOrCreate(&q.loadShares, group)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -75,6 +75,9 @@
 	if known && len(q.waiters) > 0 && w.unservable(w.enqueuedAt.Add(wait)) {
 		return q.overloadError(w.enqueuedAt)
 	}
+	if w.request.Grouped && q.hopeless(w.enqueuedAt) {
+		return q.overloadError(w.enqueuedAt)
+	}
 	q.add(w)
 	s.serve(q)
 	return nil
