--- a/dispatch/outage_test.go
+++ b/dispatch/outage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,7 +15,7 @@
 // outageGroup is a group whose status an entry hears each 0.3 s.
 type outageGroup struct {
 	scheduler *dispatch.Scheduler
-	broken    bool
+	broken    atomic.Bool
 }
 
 // newOutageGroup returns a group that works, of which the entry knows the ranks.
@@ -32,7 +33,7 @@
 // run tells the entry the state of the group until ctx ends.
 func (g *outageGroup) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		g.scheduler.ObserveFormation(service, groupName, g.broken, 20*time.Millisecond)
+		g.scheduler.ObserveFormation(service, groupName, g.broken.Load(), 20*time.Millisecond)
 		time.Sleep(300 * time.Millisecond)
 	}
 }
@@ -46,11 +47,11 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		g := newOutageGroup(t)
 		first := reserve(t, g.scheduler, dispatch.Request{Grouped: true})
-		g.broken = true
+		g.broken.Store(true)
 		first.Release(dispatch.Report{Outcome: dispatch.GroupBroken})
 		go g.run(ctx)
 		time.Sleep(10 * time.Millisecond)
-		sent := 0
+		var sent atomic.Int64
 		began := time.Now()
 		for range 20 {
 			go func() {
@@ -62,19 +63,19 @@
 				if err != nil {
 					return
 				}
-				sent++
-				if g.broken {
+				sent.Add(1)
+				if g.broken.Load() {
 					reservation.Release(dispatch.Report{Outcome: dispatch.GroupBroken})
 					t.Errorf("a request was sent %s after the group broke", time.Since(began))
 				}
 			}()
 		}
 		time.Sleep(outage)
-		g.broken = false
+		g.broken.Store(false)
 		time.Sleep(400 * time.Millisecond)
 		synctest.Wait()
-		if sent != 20 {
-			t.Errorf("%d of 20 requests were sent within 0.4 s after the group worked again", sent)
+		if n := sent.Load(); n != 20 {
+			t.Errorf("%d of 20 requests were sent within 0.4 s after the group worked again", n)
 		}
 		cancel()
 		time.Sleep(time.Minute) // lets all goroutines end
@@ -130,7 +131,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		g := newOutageGroup(t)
-		g.broken = true
+		g.broken.Store(true)
 		go g.run(ctx)
 		time.Sleep(10 * time.Millisecond)
 		began := time.Now()
@@ -157,10 +158,8 @@
 func TestRequestIsRefusedAtOnceInLastingOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		g := &outageGroup{
-			scheduler: newScheduler(4, 12),
-			broken:    true,
-		}
+		g := &outageGroup{scheduler: newScheduler(4, 12)}
+		g.broken.Store(true)
 		reserve(t, g.scheduler, dispatch.Request{Grouped: true}) // while no group is known
 		go g.run(ctx)
 		time.Sleep(20 * time.Second)
@@ -174,7 +173,7 @@
 		if !errors.As(err, &overload) || time.Since(began) > 0 {
 			t.Errorf("got error %v after %s, want an overload at once", err, time.Since(began))
 		}
-		g.broken = false
+		g.broken.Store(false)
 		time.Sleep(400 * time.Millisecond)
 		_, err = g.scheduler.Acquire(ctx, request)
 		if err != nil {
