Take the record of a change of map out of its making

improveMap was fifty lines, half of them the metrics and the line of the log. Only moved: the same fields, in the same order, from the same values.

--- a/group/planner.go
+++ b/group/planner.go
@@ -394,29 +394,54 @@
 	p.layers = plan.layers
 	p.version = version
 	p.StoreDemand(p.demand.Encode())
+	p.recordChange(s, mapChange{
+		plan:    plan,
+		version: version,
+		step:    step,
+		seen:    survey.step(),
+		prepare: prepared.Sub(began),
+		total:   time.Since(prepared),
+		times:   times,
+	})
+	return nil
+}
+
+// mapChange is a change of map that was made.
+type mapChange struct {
+	plan    mapPlan
+	version foxtailstack.Epoch
+	// step is the pass of the change, seen the newest pass when the map was planned.
+	step, seen foxtailstack.Step
+	// prepare and total are the times to prepare the map and to switch to it, times those of
+	// the parts of the switch.
+	prepare, total time.Duration
+	times          switchTimes
+}
+
+// recordChange updates the metrics for a change of map and logs it.
+func (p *Planner) recordChange(s *switcher, c mapChange) {
 	mapsTotal.Inc()
-	copiesTotal.Add(plan.copies)
-	prepareSeconds.Update(prepared.Sub(began).Seconds())
-	switchSeconds.Update(time.Since(prepared).Seconds())
-	skewPlanned.Update(plan.skewAfter)
+	copiesTotal.Add(c.plan.copies)
+	prepareSeconds.Update(c.prepare.Seconds())
+	switchSeconds.Update(c.total.Seconds())
+	skewPlanned.Update(c.plan.skewAfter)
 	p.Log.Info("map changed",
-		zap.Uint64("map", uint64(version)),
+		zap.Uint64("map", uint64(c.version)),
 		zap.Uint64("formation", uint64(s.formation)),
-		zap.Uint64("pass", uint64(step)),
-		zap.Uint64("seen", uint64(survey.step())),
-		zap.Float64("skew", plan.skewBefore),
-		zap.Float64("planned", plan.skewAfter),
-		zap.Int("copies", plan.copies),
-		zap.Duration("prepare", prepared.Sub(began)),
-		zap.Duration("switch", time.Since(prepared)),
+		zap.Uint64("pass", uint64(c.step)),
+		zap.Uint64("seen", uint64(c.seen)),
+		zap.Float64("skew", c.plan.skewBefore),
+		zap.Float64("planned", c.plan.skewAfter),
+		zap.Int("copies", c.plan.copies),
+		zap.Duration("prepare", c.prepare),
+		zap.Duration("switch", c.total),
 		zap.Duration("lead", s.leadTime()),
-		zap.Duration("hold", times.hold),
-		zap.Duration("arm", times.arm),
-		zap.Duration("release", times.release),
-		zap.Float64("target", plan.target),
+		zap.Duration("hold", c.times.hold),
+		zap.Duration("arm", c.times.arm),
+		zap.Duration("release", c.times.release),
+		zap.Float64("target", c.plan.target),
 		zap.Duration("passtime", p.passTime),
-		zap.Duration("expected", plan.passTime))
-	return nil
+		zap.Duration("expected", c.plan.passTime))
 }
 
 // switchMap switches the group to a prepared map. If ctx ends meanwhile, the
