Log the crashes that do not count because a request was served

Of a crash that is found and then left out, since an equal request was answered shortly before, nothing was logged. So the log could not tell a request that is freed by an answer from crashes that are not seen, or not learnt from others. The line names the fingerprint, the crash, the age of the answer and the entry that found the crash; explain prints it, and a metric counts it. No decision changes.

--- a/explain/report.go
+++ b/explain/report.go
@@ -70,6 +70,7 @@
 var crashMessages = []string{
 	"crash recorded",
 	"crash learnt",
+	"crash not counted",
 	"suspect cleared",
 }
 
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -63,7 +63,8 @@
 func (l *List) Add(c Crash) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.servedRecently(c) {
+	_, served := l.servedRecently(c)
+	if served {
 		return 0
 	}
 	n := l.evidence.add(c)
@@ -127,19 +128,20 @@
 }
 
 // ServedRecently reports whether a crash does not count, because an equal request has
-// run to its end within servedTTL, or an answer to the part has begun within begunTTL.
-func (l *List) ServedRecently(c Crash) bool {
+// run to its end within servedTTL, or an answer to the part has begun within begunTTL. It
+// returns how long ago that was.
+func (l *List) ServedRecently(c Crash) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.servedRecently(c)
 }
 
 // servedRecently is ServedRecently for a caller that holds mu.
-func (l *List) servedRecently(c Crash) bool {
+func (l *List) servedRecently(c Crash) (time.Duration, bool) {
 	if c.Kind == KindRequest {
-		return l.served.has(c.Fingerprint, servedTTL)
+		return l.served.age(c.Fingerprint, servedTTL)
 	}
-	return l.begun.has(c.Fingerprint, begunTTL)
+	return l.begun.age(c.Fingerprint, begunTTL)
 }
 
 // Known reports whether an answer to a part has begun within crashTTL.
--- a/quarantine/metrics.go
+++ b/quarantine/metrics.go
@@ -10,6 +10,10 @@
 // was answered.
 var clearedTotal = metrics.NewCounter("foxtailstack_quarantine_cleared_total")
 
+// discountedTotal counts the crashes that were found or learnt and do not count because the
+// request or part was served recently.
+var discountedTotal = metrics.NewCounter("foxtailstack_quarantine_discounted_total")
+
 // countCrash counts a crash that this process found, once for each request or part that it
 // is recorded under.
 func countCrash(kind Kind) {
--- a/quarantine/served.go
+++ b/quarantine/served.go
@@ -34,6 +34,14 @@
 
 // has reports whether a request or part was served within ttl.
 func (s *servedLog) has(key Fingerprint, ttl time.Duration) bool {
+	_, ok := s.age(key, ttl)
+	return ok
+}
+
+// age returns how long ago a request or part was served, and false if that was not within
+// ttl.
+func (s *servedLog) age(key Fingerprint, ttl time.Duration) (time.Duration, bool) {
 	at, ok := s.at[key]
-	return ok && time.Since(at) < ttl
+	age := time.Since(at)
+	return age, ok && age < ttl
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -56,6 +56,10 @@
 		if t.List.Known(c.Fingerprint) {
 			c.Kind = c.Kind.withoutStarted()
 		}
+		age, served := t.List.ServedRecently(c)
+		if served {
+			t.logDiscount(c, age, t.Instance)
+		}
 		n := t.List.Add(c)
 		if n == 0 {
 			continue
@@ -199,7 +203,9 @@
 		t.Log.Warn("row skipped", zap.String("kind", "crash"), zap.String("row", record.Name), zap.Error(err))
 		return false
 	}
-	if t.List.ServedRecently(c) {
+	age, served := t.List.ServedRecently(c)
+	if served {
+		t.logDiscount(c, age, foxtailstack.InstanceName(record.Value))
 		t.setPending(record.Name, false)
 		return true
 	}
@@ -327,3 +333,15 @@
 		zap.Bool("quarantined", t.List.Quarantined(c.Fingerprint)),
 		zap.String("by", string(by)))
 }
+
+// logDiscount logs that a crash, found by an entry, does not count because the request or
+// part was served recently.
+func (t *Table) logDiscount(c Crash, age time.Duration, by foxtailstack.InstanceName) {
+	discountedTotal.Inc()
+	t.Log.Info("crash not counted",
+		zap.Stringer("fingerprint", c.Fingerprint),
+		zap.Stringer("kind", c.Kind),
+		zap.String("crash", string(c.ID)),
+		zap.Duration("served", age),
+		zap.String("by", string(by)))
+}
