Do not let an error free a request that crashes its upstreams

Callers saw all upstreams of a service end again and again under one request, which was sent on for as long as it came.

Cause: a complete response of any status counted as the end of the request (gateway.relay called Quarantine.Served). That removes the record of a first crash, and for 30 s no crash under the request counts, at any entry, since each removes the rows that the others write. An upstream that answers a request with an error has not shown that it survives it: it may give the error before it runs what crashes it.

Now only a success or a redirection counts. What is lost: a popular request that upstreams always answer with an error is no longer protected from being refused when two of its upstreams crash at once for another reason.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -14,6 +14,7 @@
 
 	"github.com/foxtailstack/foxtailstack/dispatch"
 	"github.com/foxtailstack/foxtailstack/exchange"
+	"github.com/foxtailstack/foxtailstack/quarantine"
 )
 
 const (
@@ -88,7 +89,9 @@
 		conn.Close()
 		return c.failed(ctx, reservation, errTooLong)
 	}
-	c.gateway.Quarantine.Served(c.subject)
+	if quarantine.Survived(in.Status) {
+		c.gateway.Quarantine.Served(c.subject)
+	}
 	in.Finish(c.gateway.Pool, reservation.Upstream.Name, conn)
 	response := &bufferedResponse{
 		status: in.Status,
--- a/machine/crash_test.go
+++ b/machine/crash_test.go
@@ -242,6 +242,21 @@
 	}
 }
 
+// Guards against a request that crashes nearly each upstream that runs it and is sent on all
+// the same, because some upstreams answer it with an error, which counts as served.
+func TestErrorDoesNotFreeCrashingRequest(t *testing.T) {
+	t.Parallel()
+	s := newCrashSystem(t, "drafts", standin.CrashMode{
+		AnswerEvery:  5,
+		AnswerStatus: http.StatusInternalServerError,
+	})
+	s.sendCrashes("/lookup/x")
+	t.Logf("%d crashes", len(s.log.Crashes()))
+	if got := s.retriesBeyond(); got > allowedRetries {
+		t.Errorf("%d retries %s after the third crash, want at most %d", got, contactTime, allowedRetries)
+	}
+}
+
 // Guards against a quarantine that ends when an entry starts anew.
 func TestQuarantineOutlivesEntries(t *testing.T) {
 	t.Parallel()
--- a/quarantine/served.go
+++ b/quarantine/served.go
@@ -1,6 +1,16 @@
 package quarantine
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
+
+// Survived reports whether a complete answer with a status shows that its upstream survives
+// the request. An error does not: the upstream may give one before it begins to run what
+// would crash it.
+func Survived(status int) bool {
+	return status < http.StatusBadRequest
+}
 
 // servedLog holds when requests ran to their end, or parts of prompts began to be
 // answered, for the last maxServed of them. The zero value is empty.
