Do not let an error free a request on the product's own interface

The same fault as on the users' machines: a call that an engine answered with an error counted as served, and for 30 s no crash under equal requests counted.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -163,7 +163,9 @@
 	switch {
 	case err == nil:
 		s.retryBudgets.countSuccess(r.budgetKey())
-		s.quarantine.Served(r.subject())
+		if quarantine.Survived(r.out.status) {
+			s.quarantine.Served(r.subject())
+		}
 	case errors.As(err, &attemptErr) && attemptErr.mayHaveCrashed():
 		s.recordCrash(ctx, Crash{
 			Fingerprint:    r.fingerprint,
