Let an answer offset one crash of a request, not all

Callers saw upstreams end again and again under a request that most of them do not survive but one serves now and then.

Cause: one complete answer removed the record of the request and kept all crashes under it from counting for 30 s, at every entry. That rule is for popular requests, which run on every upstream that ends for another reason; it took no account of how often the request was served and how often it crashed.

Now a request has as many crashes left out as it was served, up to eight, and an answer that clears a recorded crash leaves out no further one.

--- a/machine/crash_test.go
+++ b/machine/crash_test.go
@@ -257,6 +257,21 @@
 	}
 }
 
+// Guards against a request that crashes most upstreams that run it and is sent on all the
+// same, because now and then one serves it, after which no crash counts for a time.
+func TestAnswerDoesNotFreeCrashingRequest(t *testing.T) {
+	t.Parallel()
+	s := newCrashSystem(t, "drafts", standin.CrashMode{
+		AnswerEvery:  5,
+		AnswerStatus: http.StatusOK,
+	})
+	s.sendCrashes("/lookup/x")
+	t.Logf("%d crashes", len(s.log.Crashes()))
+	if got := s.retriesBeyond(); got > allowedRetries {
+		t.Errorf("%d retries %s after the third crash, want at most %d", got, contactTime, allowedRetries)
+	}
+}
+
 // Guards against a quarantine that ends when an entry starts anew.
 func TestQuarantineOutlivesEntries(t *testing.T) {
 	t.Parallel()
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -8,8 +8,8 @@
 
 const (
 	// servedTTL is the time after a request has run to its end in which crashes under
-	// equal requests do not count. Requests that are sent so often run on every
-	// upstream that crashes for another reason.
+	// equal requests do not count, up to as many as have run to their end. Requests that
+	// are sent so often run on every upstream that crashes for another reason.
 	servedTTL = 30 * time.Second
 	// begunTTL is the same for parts of prompts, after an answer to one of them has
 	// begun. It is shorter because a part may be one that has just turned harmful.
@@ -56,9 +56,8 @@
 }
 
 // Add records a crash and returns the number of crashes recorded under the same request
-// or part. It returns zero if the crash is not added: it is known already, an equal request
-// has run to its end within servedTTL, an answer to the part has begun within begunTTL, or
-// there are maxCrashes crashes. In the last case only the time of the last crash is
+// or part. It returns zero if the crash is not added: it is known already, it does not count
+// (see ServedRecently), or there are maxCrashes crashes. In the last case only the time of the last crash is
 // renewed.
 func (l *List) Add(c Crash) int {
 	l.mu.Lock()
@@ -88,6 +87,10 @@
 	defer l.mu.Unlock()
 	l.served.add(s.Request)
 	l.addBegun(s)
+	suspect := l.evidence.record(s.Request) != nil
+	if !suspect {
+		l.served.give(s.Request) // for a suspect the crashes that it clears are enough
+	}
 	return l.clear(s, s.keys())
 }
 
@@ -128,8 +131,8 @@
 }
 
 // ServedRecently reports whether a crash does not count, because an equal request has
-// run to its end within servedTTL, or an answer to the part has begun within begunTTL. It
-// returns how long ago that was.
+// run to its end within servedTTL, and that more often than crashes were left out, or an
+// answer to the part has begun within begunTTL. It returns how long ago that was.
 func (l *List) ServedRecently(c Crash) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -139,7 +142,7 @@
 // servedRecently is ServedRecently for a caller that holds mu.
 func (l *List) servedRecently(c Crash) (time.Duration, bool) {
 	if c.Kind == KindRequest {
-		return l.served.age(c.Fingerprint, servedTTL)
+		return l.served.discount(c.Fingerprint, c.ID, servedTTL)
 	}
 	return l.begun.age(c.Fingerprint, begunTTL)
 }
--- a/quarantine/served.go
+++ b/quarantine/served.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -12,10 +13,25 @@
 	return status < http.StatusBadRequest
 }
 
+// maxCredit is the number of crashes up to which those under a popular request do not count:
+// as many upstreams as may end together.
+const maxCredit = 8
+
+// service is what a servedLog knows of one request or part.
+type service struct {
+	// at is when it was served last.
+	at time.Time
+	// credit is the number of times that it was served, less the crashes that were
+	// discounted for that, from zero to maxCredit.
+	credit int
+	// discounted holds the last maxCredit of these crashes.
+	discounted []CrashID
+}
+
 // servedLog holds when requests ran to their end, or parts of prompts began to be
 // answered, for the last maxServed of them. The zero value is empty.
 type servedLog struct {
-	at map[Fingerprint]time.Time
+	services map[Fingerprint]*service
 	// ring holds the fingerprints in the order in which they were added, next the place
 	// of the next one.
 	ring []Fingerprint
@@ -25,23 +41,32 @@
 // add records that a request or part was served now. If the log is full, it forgets the
 // one that was added first.
 func (s *servedLog) add(key Fingerprint) {
-	if s.at == nil {
-		s.at = make(map[Fingerprint]time.Time)
+	if s.services == nil {
+		s.services = make(map[Fingerprint]*service)
 	}
-	_, known := s.at[key]
-	s.at[key] = time.Now()
-	if known {
+	known, ok := s.services[key]
+	if ok {
+		known.at = time.Now()
 		return
 	}
+	s.services[key] = &service{at: time.Now()}
 	if len(s.ring) < maxServed {
 		s.ring = append(s.ring, key)
 		return
 	}
-	delete(s.at, s.ring[s.next])
+	delete(s.services, s.ring[s.next])
 	s.ring[s.next] = key
 	s.next = (s.next + 1) % maxServed
 }
 
+// give lets one more crash under a request be discounted.
+func (s *servedLog) give(key Fingerprint) {
+	known, ok := s.services[key]
+	if ok {
+		known.credit = min(known.credit+1, maxCredit)
+	}
+}
+
 // has reports whether a request or part was served within ttl.
 func (s *servedLog) has(key Fingerprint, ttl time.Duration) bool {
 	_, ok := s.age(key, ttl)
@@ -51,7 +76,33 @@
 // age returns how long ago a request or part was served, and false if that was not within
 // ttl.
 func (s *servedLog) age(key Fingerprint, ttl time.Duration) (time.Duration, bool) {
-	at, ok := s.at[key]
-	age := time.Since(at)
-	return age, ok && age < ttl
+	known, ok := s.services[key]
+	if !ok {
+		return 0, false
+	}
+	age := time.Since(known.at)
+	return age, age < ttl
+}
+
+// discount reports whether a crash under a request does not count, because the request was
+// served within ttl and more often than crashes were discounted for it. A crash that was
+// discounted once stays so. It returns how long ago the request was served.
+func (s *servedLog) discount(key Fingerprint, id CrashID, ttl time.Duration) (time.Duration, bool) {
+	age, ok := s.age(key, ttl)
+	if !ok {
+		return age, false
+	}
+	known := s.services[key]
+	if slices.Contains(known.discounted, id) {
+		return age, true
+	}
+	if known.credit == 0 {
+		return age, false
+	}
+	known.credit--
+	if len(known.discounted) == maxCredit {
+		known.discounted = known.discounted[1:]
+	}
+	known.discounted = append(known.discounted, id)
+	return age, true
 }
