Log the limits that upstreams name

Nothing read the header Server-Limit, so the log could not tell a limit that is not known from one that each entry takes for itself, nor whether the answers to reports of ranks carry it. No decision changes.

--- a/dispatch/upstreamstate.go
+++ b/dispatch/upstreamstate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/exchange"
 )
 
@@ -77,6 +78,9 @@
 	// pausedUntil is the time until which the upstream gets no requests because it asked
 	// for that.
 	pausedUntil time.Time
+	// limit is the rate of requests that the upstream takes from all entries together;
+	// zero if it names none.
+	limit foxtailstack.RequestRate
 	// dialFailures is the number of failed dials since a request was last
 	// answered.
 	dialFailures int
--- a/exchange/codec.go
+++ b/exchange/codec.go
@@ -74,6 +74,9 @@
 	RetryAfter time.Duration
 	// Leaving is set if the upstream says that it is about to end.
 	Leaving bool
+	// Limit is the rate of requests that the upstream takes from all callers together; zero
+	// if it names none.
+	Limit foxtailstack.RequestRate
 	// ContentEncoded is set if the body was encoded after the upstream produced
 	// it.
 	ContentEncoded bool
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -42,6 +42,9 @@
 	}
 	c.gateway.Scheduler.ObserveLoad(u.Name, in.Load)
 	reservation.Pause(in.RetryAfter)
+	if !in.Misdirected {
+		c.gateway.Scheduler.ObserveLimit(u, in.Limit)
+	}
 	if in.Leaving {
 		c.gateway.View.MarkLeaving(u)
 	}
--- a/group/rank.go
+++ b/group/rank.go
@@ -59,6 +59,9 @@
 	// Slowdown is the pass time of the rank over the usual one. One is normal;
 	// more means that the rank is slow.
 	Slowdown float64 `cbor:"16,keyasint"`
+	// Limit is the rate of requests that the rank takes from all entries together; zero if
+	// it names none.
+	Limit foxtailstack.RequestRate `cbor:"17,keyasint,omitempty"`
 }
 
 // Counts holds how often the requests of a rank chose each expert since the
--- a/group/sidecar.go
+++ b/group/sidecar.go
@@ -97,6 +97,8 @@
 	// lastCounts are the counts at the last sample, which was taken at lastSample.
 	lastCounts Counts
 	lastSample time.Time
+	// lastLimit is the limit in the last report of the rank.
+	lastLimit foxtailstack.RequestRate
 	// status is the status for entries.
 	status knownStatus
 	// entries holds the hosts of the entries that asked for it, with the time of the last
@@ -170,6 +172,7 @@
 	if err != nil {
 		return Observation{}, err
 	}
+	s.logLimit(report.Limit)
 	answer := Observation{
 		Report:    report,
 		ArmRecord: s.currentArmRecord(),
@@ -194,6 +197,17 @@
 	return answer, nil
 }
 
+// logLimit logs a change of the rate of requests that the rank takes.
+func (s *Sidecar) logLimit(limit foxtailstack.RequestRate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if limit == s.lastLimit {
+		return
+	}
+	s.lastLimit = limit
+	s.Log.Info("rank reports a limit", zap.Float64("limit", float64(limit)))
+}
+
 // serveObserve answers a planner's request for an observation.
 func (s *Sidecar) serveObserve(w http.ResponseWriter, r *http.Request) {
 	var planner PlannerInfo
