Tell all entries the limits of ranks and their end

An entry learnt a limit, and that it had ended, only by an answer to a request of its own. Among 53 entries and a limit of 1 a second that is one request in a minute and more for each: the rank would be left nearly alone for so long after it had recovered.

The sidecar beside a rank reads its reports ten times a second. If their answers name a limit, it now goes to the planner and with the status to all entries, in some 0.2 s, as the load does; the message grows only by the ranks that name one. An answer that came after the status counts more.

--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -18,6 +18,9 @@
 	// Slowdown is the ratio of the pass time of the rank to the usual one, as the rank
 	// reports it: 1 is normal, more is slow.
 	Slowdown float64
+	// Limit is the rate of requests that the rank takes from all entries together; zero if
+	// it names none.
+	Limit foxtailstack.RequestRate
 }
 
 // slow reports whether the slowdown reaches slowThreshold, so that requests at this
@@ -82,6 +85,7 @@
 		s.setSlow(&u, slowUntil, age)
 		state.slots = q.usableSlots(&u, state, true)
 		state.observeLoad(&rank.Load, observedAt, divider)
+		s.observeStatusLimit(&u, rank.Limit, age, now)
 	}
 }
 
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -34,9 +34,9 @@
 	limit foxtailstack.RequestRate
 	// start is the start of the upstream that named the limit.
 	start int64
-	// named is when the limit was learnt last, by an answer or a status. byStatus is set if
-	// a status named it.
-	named    time.Time
+	// answered is when the last answer with or without a limit arrived here. byStatus is set
+	// if a status of the group has named the limit too.
+	answered time.Time
 	byStatus bool
 	interval time.Duration
 	// next is the beginning of the next turn that has not been used, or of the present one.
@@ -92,12 +92,20 @@
 	}
 	now := time.Now()
 	s.setLimit(&u, limit, 0, now)
+	s.upstream(u.Name).turns.answered = now
+}
+
+// observeStatusLimit records the limit of a rank as a status of a given age names it. So
+// entries learn of a limit, and of its end, that have no request at the rank for long. A
+// status without a limit ends one only if a status has named it: the reports of ranks need
+// not carry limits. An answer that came after the status counts more. The caller holds mu.
+func (s *Scheduler) observeStatusLimit(u *route.Upstream, limit foxtailstack.RequestRate, age time.Duration, now time.Time) {
 	state := s.upstream(u.Name)
-	state.turns.named = now
-	state.turns.byStatus = false
-	if limit == 0 {
-		s.serve(s.queue(u.Service))
+	if now.Add(-age).Before(state.turns.answered) || limit == 0 && !state.turns.byStatus {
+		return
 	}
+	s.setLimit(u, limit, age, now)
+	state.turns.byStatus = limit > 0
 }
 
 // setLimit sets the limit of an upstream and logs a change. age is the age of the status
@@ -123,6 +131,9 @@
 		s.limited[u.Name] = true
 	}
 	s.logLimit(u, &state.turns, age)
+	if limit == 0 {
+		s.serve(s.queue(u.Service))
+	}
 }
 
 // logLimit logs a change of the limit of an upstream.
--- a/dispatch/limit_test.go
+++ b/dispatch/limit_test.go
@@ -244,3 +244,41 @@
 		}
 	})
 }
+
+// Guards against a limit that an entry learns of, or learns the end of, only by its own next
+// request, which may come a minute later among many entries, and against a status that ends
+// a limit though it carries none.
+func TestStatusSharesLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScheduler(1, 1000)
+		r := reserve(t, s, dispatch.Request{})
+		status := func(limit foxtailstack.RequestRate) {
+			s.ObserveGroup(service, groupName, map[foxtailstack.Address]dispatch.RankLoad{
+				r.Upstream.Address: {Limit: limit},
+			}, 0)
+		}
+		limited := func() bool {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+			defer cancel()
+			_, err := s.Acquire(ctx, dispatch.Request{
+				Service:  service,
+				Deadline: time.Now().Add(time.Millisecond),
+			})
+			return errors.Is(err, dispatch.ErrLimited)
+		}
+		var got []bool
+		s.ObserveLimit(r.Upstream, 0.1)
+		time.Sleep(time.Millisecond)
+		status(0) // names no limits
+		got = append(got, limited())
+		s.ObserveLimit(r.Upstream, 0)
+		time.Sleep(time.Millisecond)
+		status(0.1)
+		got = append(got, limited())
+		status(0)
+		got = append(got, limited())
+		if diff := cmp.Diff([]bool{true, true, false}, got); diff != "" {
+			t.Errorf("limited after an answer, a status with and one without a limit (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/group/status.go
+++ b/group/status.go
@@ -33,6 +33,9 @@
 	Running  int
 	Waiting  int
 	Slowdown float64
+	// Limit is the rate of requests that the rank takes from all entries together; zero if
+	// it names none.
+	Limit foxtailstack.RequestRate
 }
 
 // Status is the state of a group, as published to entries.
@@ -64,6 +67,15 @@
 	Age       time.Duration  `cbor:"6,keyasint"`
 	Entries   int            `cbor:"7,keyasint,omitempty"`
 	Broken    bool           `cbor:"8,keyasint,omitempty"`
+	// Limits holds the limits of the ranks that name one.
+	Limits []rankLimit `cbor:"9,keyasint,omitempty"`
+}
+
+// rankLimit is the limit of the rank with an index in the table of ranks.
+type rankLimit struct {
+	_     struct{} `cbor:",toarray"`
+	Index int
+	Limit foxtailstack.RequestRate
 }
 
 // rankSlowdown is the slowdown of the rank with an index in the table of ranks.
@@ -97,6 +109,14 @@
 			})
 		}
 	}
+	for i, rank := range ranks {
+		if rank.Limit > 0 {
+			message.Limits = append(message.Limits, rankLimit{
+				Index: i,
+				Limit: rank.Limit,
+			})
+		}
+	}
 	message.Table = tableID(digest.Sum64())
 	return message
 }
@@ -152,6 +172,12 @@
 		}
 		status.Ranks[rank.Index].Slowdown = float64(rank.Slowdown)
 	}
+	for _, rank := range m.Limits {
+		if rank.Index < 0 || rank.Index >= len(status.Ranks) {
+			return Status{}, false
+		}
+		status.Ranks[rank.Index].Limit = rank.Limit
+	}
 	return status, true
 }
 
--- a/group/survey.go
+++ b/group/survey.go
@@ -393,6 +393,7 @@
 			Running:  r.Running,
 			Waiting:  r.Waiting,
 			Slowdown: r.Slowdown,
+			Limit:    r.Limit,
 		})
 	}
 	return ranks
--- a/machine/entry.go
+++ b/machine/entry.go
@@ -356,6 +356,7 @@
 				Waiting: rank.Waiting,
 			},
 			Slowdown: rank.Slowdown,
+			Limit:    rank.Limit,
 		}
 	}
 	e.scheduler.ObserveEntries(service, dispatch.GroupName(status.Group), status.Entries)
