Let an upstream of the soak name a limit

From the end of trouble to the end of the calm one plain upstream names 1 request a second, and may get no more than the users allow (11 in 4 s, from 3 s on). A third plain upstream serves the others beside it and beside the one that leaves or asks for pauses.

--- a/soak/leave_test.go
+++ b/soak/leave_test.go
@@ -19,6 +19,17 @@
 	pauseSlack = 300 * time.Millisecond
 )
 
+// From contactTime after an upstream has named a limit, it may get in limitWindow
+// limitFactor times what that allows and limitSlack requests more, of the entries that had
+// its answer toldTime before.
+const (
+	namedLimit  = 1 // requests a second
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	toldTime    = 500 * time.Millisecond
+)
+
 // leaverMode is what a leaver does.
 type leaverMode uint8
 
@@ -31,8 +42,8 @@
 	pauses
 )
 
-// leaver lets a plain upstream leave or ask for a pause, and finds requests that reach it all
-// the same.
+// leaver lets a plain upstream leave, ask for a pause or name a limit, and finds requests
+// that reach it all the same.
 type leaver struct {
 	next http.HandlerFunc
 	// entryOf returns the entry that a request was sent to.
@@ -44,6 +55,9 @@
 	told map[int]time.Time
 	// late holds the requests that arrived too late.
 	late []string
+
+	// limits names a limit in the answers.
+	limits standin.LimitLog
 }
 
 // begin lets the upstream leave or ask for pauses.
@@ -89,6 +103,9 @@
 // ServeHTTP serves a request.
 func (l *leaver) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := standin.RequestOf(r)
+	sender := strconv.Itoa(l.entryOf(id))
+	l.limits.Arrive(sender)
+	l.limits.Name(w, sender)
 	switch l.arrive(id) {
 	case pauses:
 		w.Header().Set("Retry-After", strconv.FormatFloat(pauseTime.Seconds(), 'f', -1, 64))
@@ -109,3 +126,10 @@
 		l.told[entry] = time.Now()
 	}
 }
+
+// endLimit ends a limit and returns the most requests in limitWindow that counted.
+func (l *leaver) endLimit() int {
+	most := l.limits.MostArrivals(limitWindow, contactTime, toldTime)
+	l.limits.SetLimit(0)
+	return most
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -238,8 +238,8 @@
 }
 
 // calm checks that nearly all is served, that a planned stop cuts nothing, that a request
-// that crashes upstreams is not sent on, and that an upstream that leaves or wants a pause
-// gets nothing.
+// that crashes upstreams is not sent on, that an upstream that leaves or wants a pause gets
+// nothing, and that one that names a limit gets no more.
 func (s *system) calm(rng *rand.Rand, c *callers, round int) {
 	troubleEnded := time.Now()
 	ctx, cancel := context.WithCancel(s.t.Context())
@@ -251,15 +251,20 @@
 		checkCrashes(s.t, s.crashes, troubleEnded)
 		s.crashes.Reset()
 	}()
+	leaving := rng.IntN(plain)
+	limited := s.leavers[(leaving+1)%plain]
+	limited.limits.SetLimit(namedLimit)
 	time.Sleep(healTime)
 	began := time.Now()
-	leaving := rng.IntN(plain)
 	mode := []leaverMode{leaves, pauses}[rng.IntN(2)]
 	s.leavers[leaving].begin(mode)
 	time.Sleep(calmTime)
 	for _, request := range s.leavers[leaving].end() {
 		s.t.Errorf("request %s reached an upstream that leaves or wants a pause (%d)", request, mode)
 	}
+	if got, want := limited.endLimit(), int(limitFactor*namedLimit*limitWindow.Seconds())+limitSlack; got > want {
+		s.t.Errorf("%d requests in %s reached an upstream that takes %d a second, want at most %d", got, limitWindow, namedLimit, want)
+	}
 	if mode == leaves {
 		s.register(plainMachine, leaving, "drafts", fmt.Sprintf("drafts-%d-after-%d", leaving, round))
 	}
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -20,7 +20,7 @@
 )
 
 // plain is the number of plain upstreams.
-const plain = 2
+const plain = 3
 
 // Times that the settings hold processes to.
 const (
