Log where a request goes after an attempt that may have run, and abandoned ones

No line told streams that left a rank and went on from those that waited until their callers left, since 'waited' adds up all waits of a request, nor when an entry gave up a connection and whether it reset it. 'request moved' and 'attempt abandoned' say so, one line each for a request and attempt, and explain reads the first. No decision changes.

--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -201,13 +201,16 @@
 // acknowledged all bytes of the request, Abort resets the connection, so that the
 // rest is dropped and cannot arrive later. Otherwise Abort closes it: the kernel
 // retransmits a close until the peer has received it, but does not retransmit a
-// reset. Abort may be called concurrently with any other method.
-func (c *Conn) Abort() {
+// reset. Abort reports whether it resets the connection. It may be called concurrently with
+// any other method.
+func (c *Conn) Abort() bool {
 	tcp, ok := c.raw.(*net.TCPConn)
-	if ok && c.unacknowledged(tcp) {
+	reset := ok && c.unacknowledged(tcp)
+	if reset {
 		_ = tcp.SetLinger(0) // fails only if the connection is closed already
 	}
 	c.Close()
+	return reset
 }
 
 // unacknowledged reports whether the peer has not acknowledged all sent bytes. It
--- a/explain/outcome.go
+++ b/explain/outcome.go
@@ -53,7 +53,7 @@
 	case !ok:
 		text = "The log has no end of the request: the process ended, or lines were dropped."
 	}
-	text = heldBack(requestLines) + text
+	text = heldBack(requestLines) + moves(requestLines) + text
 	for _, line := range requestLines {
 		culprit := line.Get("culprit")
 		if culprit != "" {
@@ -77,6 +77,24 @@
 	return ""
 }
 
+// moves says for how long the request waited to go on after attempts that may have run. It
+// returns the empty text if there were none.
+func moves(requestLines []Line) string {
+	text := ""
+	for _, line := range requestLines {
+		if line.Message != "request moved" {
+			continue
+		}
+		to := "no other upstream"
+		if line.Get("to") != "" {
+			to = line.Get("to")
+		}
+		text += fmt.Sprintf("After event %s from %s it waited %s and went to %s.\n",
+			line.Get("event"), line.Get("upstream"), seconds(line, "waited"), to)
+	}
+	return text
+}
+
 // disconnectCause describes why a caller closed its connection before the response
 // was complete. last is the line with the message "request", which the gateway writes
 // at the end of a request. Its field waited is the time in the queue for an upstream,
--- a/explain/outcome_test.go
+++ b/explain/outcome_test.go
@@ -35,6 +35,12 @@
 				"ts=2026-03-02T13:22:52.892Z msg=request request=r reason=upstreams-refused",
 			want: "A rank of the group did not work; the refusal names 10.0.0.1:1.\n" + reasonTexts["upstreams-refused"],
 		},
+		"left while it waited to go on": {
+			log: "msg=\"request moved\" request=r upstream=u1 to= event=6 waited=2.67\n" +
+				"ts=2026-03-02T13:22:52.892Z msg=request request=r reason=caller-left events=6 waited=2.67 first=0.19 gap=4.007 took=4.583",
+			want: "After event 6 from u1 it waited 2.67s and went to no other upstream.\n" +
+				"The caller left when no event had come for 4.007s.",
+		},
 		"no end": {
 			log:  "msg=\"attempt failed\" request=r",
 			want: "The log has no end of the request: the process ended, or lines were dropped.",
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/dispatch"
 	"github.com/foxtailstack/foxtailstack/exchange"
 	"github.com/foxtailstack/foxtailstack/quarantine"
@@ -31,7 +32,7 @@
 	if admission.Outdated.Err() != nil {
 		return c.outdated(reservation, conn)
 	}
-	stop := context.AfterFunc(ctx, conn.Abort)
+	stop := context.AfterFunc(ctx, func() { c.abandon(u.Name, conn) })
 	defer stop()
 	c.sentTo[u.Name] = true
 	c.sendCount++
@@ -45,7 +46,7 @@
 	c.setLeaveCheck(conn)
 	in, err := conn.Send(c.outgoing(u), c.gateway.Codec)
 	if err != nil {
-		conn.Abort()
+		_ = conn.Abort()
 		return c.failed(ctx, reservation, err)
 	}
 	c.gateway.Scheduler.ObserveLoad(u.Name, in.Load)
@@ -65,6 +66,16 @@
 	return c.relay(ctx, reservation, conn, in, began)
 }
 
+// abandon ends the connection to an upstream because the caller has left or the time of the
+// request is over. It may be called concurrently with the attempt.
+func (c *call) abandon(upstream foxtailstack.UpstreamName, conn *exchange.Conn) {
+	reset := conn.Abort()
+	c.gateway.Log.Info("attempt abandoned",
+		zap.String("request", string(c.requestInfo.ID)),
+		zap.String("upstream", string(upstream)),
+		zap.Bool("reset", reset))
+}
+
 // outgoing returns the request with the header for upstream u.
 func (c *call) outgoing(u route.Upstream) exchange.OutgoingRequest {
 	return exchange.OutgoingRequest{
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -237,9 +237,28 @@
 	reservation, err := c.gateway.Scheduler.Acquire(ctx, request)
 	c.queueTime += time.Since(began)
 	c.logHeld(reservation, err, time.Since(began))
+	c.logMove(reservation, err, time.Since(began))
 	return reservation, err
 }
 
+// logMove logs to which upstream a request goes that was sent before, or why to none.
+func (c *call) logMove(reservation *dispatch.Reservation, err error, waited time.Duration) {
+	if len(c.mayHaveRun) == 0 {
+		return
+	}
+	to := foxtailstack.UpstreamName("")
+	if reservation != nil {
+		to = reservation.Upstream.Name
+	}
+	c.gateway.Log.Info("request moved",
+		zap.String("request", string(c.requestInfo.ID)),
+		zap.String("upstream", string(c.upstream)),
+		zap.String("to", string(to)),
+		zap.Int64("event", c.stream.lastEventID),
+		zap.Duration("waited", waited),
+		zap.Error(err))
+}
+
 // estimateTimes sets the time estimates of a request to a group. An event of a
 // stream takes a pass; events that the caller has are not made again. A stream whose
 // events come further apart than the route allows misses its target whenever it
