Add a failing test of streams that leave a silent rank in an overload

Three ranks with four slots, one of which falls silent; further streams come faster than the other two serve them.

--- /dev/null
+++ b/gateway/moved_test.go
@@ -0,0 +1,114 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack/platform/standin"
+	"github.com/google/go-cmp/cmp"
+)
+
+const (
+	// patience is the time without an event after which a caller leaves, the abandon
+	// timeout of the route.
+	patience = 2 * time.Second
+	// movedEvents is the number of events of a stream, and eventTime the time for each.
+	movedEvents = 10
+	eventTime   = 20 * time.Millisecond
+	// firstStreams is the number of streams that fill three ranks.
+	firstStreams = 12
+	// overloadInterval is the time between two further streams. Two ranks serve one in
+	// 25 ms.
+	overloadInterval = 20 * time.Millisecond
+	// silentReportInterval is the time between two statuses without the silent rank.
+	silentReportInterval = 300 * time.Millisecond
+)
+
+// stream sends a request for a stream and reads it until it ends, or leaves after patience.
+func (tg *testGateway) stream(t *testing.T, id string) callerResponse {
+	ctx, leave := context.WithCancel(t.Context())
+	defer leave()
+	timer := time.AfterFunc(patience, leave)
+	defer timer.Stop()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, tg.server.URL+"/model/x", strings.NewReader(id))
+	if err != nil {
+		t.Error("new request:", err)
+		return callerResponse{}
+	}
+	request.Host = standin.ConfigHost
+	request.Header = standin.CallerHeader(id, standin.ConfigKey, tg.timeout)
+	response, err := tg.caller.RoundTrip(request)
+	if err != nil {
+		return callerResponse{Truncated: true}
+	}
+	defer response.Body.Close()
+	got := callerResponse{Status: response.StatusCode}
+	buffer := make([]byte, 1<<10)
+	for {
+		n, err := response.Body.Read(buffer)
+		got.Body += string(buffer[:n])
+		timer.Reset(patience)
+		if err != nil {
+			got.Truncated = len(got.Body) != len(wantEvents(1, movedEvents))
+			return got
+		}
+	}
+}
+
+// pacedEvents serves a stream at the pace of a rank.
+func pacedEvents(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.Atoi(r.Header.Get(standin.HeaderLastEvent))
+	for n := from + 1; n <= movedEvents; n++ {
+		time.Sleep(eventTime)
+		writeEvents(w, r, n, n)
+	}
+}
+
+// silentAfterTwo serves two events and then nothing until the gateway leaves.
+func silentAfterTwo(w http.ResponseWriter, r *http.Request) {
+	writeEvents(w, r, 1, 2)
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+// Guards against callers that leave, and work that goes on for them where no close can
+// arrive, because their streams left a silent rank and wait behind requests that have not begun.
+func TestStreamsThatLeftSilentRankGoOnInOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tg := newTestGatewayOn(t, &pipeNetwork{}, "models", silentAfterTwo, pacedEvents, pacedEvents)
+		tg.timeout = 4 * time.Second
+		tg.runPasses(t)
+		var wg sync.WaitGroup
+		got := make([]callerResponse, firstStreams)
+		for i := range firstStreams {
+			wg.Go(func() { got[i] = tg.stream(t, fmt.Sprintf("first-%d", i)) })
+		}
+		wg.Go(func() {
+			for range patience / silentReportInterval {
+				time.Sleep(silentReportInterval)
+				tg.reportRank("worker-0:80", reportSilent)
+			}
+		})
+		for i := range patience / overloadInterval {
+			time.Sleep(overloadInterval)
+			wg.Go(func() { tg.stream(t, fmt.Sprintf("further-%d", i)) })
+		}
+		wg.Wait()
+		want := callerResponse{
+			Status: http.StatusOK,
+			Body:   wantEvents(1, movedEvents),
+		}
+		for i := range got {
+			if diff := cmp.Diff(want, got[i]); diff != "" {
+				t.Errorf("stream %d differs (-want +got):\n%s", i, diff)
+			}
+		}
+	})
+}
