Serve requests that have begun before all that have not

Callers whose streams had left a silent rank got nothing more and left 2 to 4 s later, or got 502; their first runs went on at the rank, where no close of a connection can arrive while its machine stands still (GONE).

Cause: the queue took a request that was sent before for one that had just come. Its soft deadline had passed, so that it came after all that could still be on time, and had to leave slots free for those and for more urgent ones. In an overload its turn never came.

Now a request that may have run comes first and may use all slots of a rank. There are as many of those as the retry budget grants.

--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -10,7 +10,8 @@
 // not to come before other late ones.
 const lastChanceTime = 300 * time.Millisecond
 
-// order returns the waiters in the order in which they are served. Urgent requests come
+// order returns the waiters in the order in which they are served. Those that have begun come
+// first: they are as few as retries are. Urgent requests come
 // before less urgent ones, also if they are late: a burst of less urgent ones must not
 // delay them. Within an urgency, requests that can still be on time come first, then late
 // ones that would soon be impossible to serve, then other late ones. Late requests come
@@ -22,6 +23,7 @@
 	ordered := slices.Clone(q.waiters)
 	slices.SortStableFunc(ordered, func(a, b *waiter) int {
 		return cmp.Or(
+			compareBegun(a, b),
 			cmp.Compare(a.request.Urgency, b.request.Urgency),
 			cmp.Compare(a.class(now), b.class(now)),
 			a.compareAge(b, now),
@@ -30,6 +32,17 @@
 	return ordered
 }
 
+// compareBegun orders a waiter that has begun before one that has not.
+func compareBegun(a, b *waiter) int {
+	switch {
+	case a.request.Begun == b.request.Begun:
+		return 0
+	case a.request.Begun:
+		return -1
+	}
+	return 1
+}
+
 // servingClass is the criterion of the serving order within an urgency; lower classes are
 // served first.
 type servingClass uint8
@@ -65,17 +78,19 @@
 	return w.enqueuedAt.Compare(other.enqueuedAt)
 }
 
-// late reports whether the response will come late even if the request is sent now.
+// late reports whether the response will come late even if the request is sent now. One that
+// has begun never counts as late.
 func (w *waiter) late(now time.Time) bool {
-	return expired(w.request.SoftDeadline, now)
+	return !w.request.Begun && expired(w.request.SoftDeadline, now)
 }
 
 // ahead returns the number of waiters that are served before a request of an urgency that
-// arrives now, if those of its own urgency are served in the order of their arrival.
+// arrives now and has not begun, if those of its own urgency are served in the order of their
+// arrival.
 func (q *queue) ahead(urgency int) int {
 	n := 0
 	for _, w := range q.waiters {
-		if w.request.Urgency <= urgency {
+		if w.request.Begun || w.request.Urgency <= urgency {
 			n++
 		}
 	}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -33,7 +33,10 @@
 	bestCost := 0.0
 	ready := s.Fleet().Ready(request.Service)
 	sampled := 0
-	place := q.tier(request.Urgency, now)
+	place := tier{}
+	if !request.Begun {
+		place = q.tier(request.Urgency, now)
+	}
 	fastest := q.fastestPace(now)
 	q.heldBack = false
 	order := newRandomOrder(len(ready))
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -147,6 +147,10 @@
 	TimeToFirstEvent time.Duration
 	// Excluded holds the upstreams that the request must not be sent to again.
 	Excluded map[foxtailstack.UpstreamName]bool
+	// Begun is set for a request that an upstream may have run in part. It comes before all
+	// that have not begun and may use all slots of a rank: its caller has waited for longer,
+	// and would leave what has been done for it.
+	Begun bool
 	// Suspect is set for a request under which an upstream crashed. Suspects are not
 	// sent to one upstream at the same time, so that a crash tells them apart.
 	Suspect bool
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -88,7 +88,7 @@
 		q.setPassBounds(w.request.PassBounds)
 	}
 	wait, known := q.expectedWait(w.request.Urgency, w.enqueuedAt)
-	if known && q.ahead(w.request.Urgency) > 0 && w.unservable(w.enqueuedAt.Add(wait)) {
+	if known && !w.request.Begun && q.ahead(w.request.Urgency) > 0 && w.unservable(w.enqueuedAt.Add(wait)) {
 		return q.overloadError(w, w.enqueuedAt)
 	}
 	if w.request.Grouped && q.hopeless(w.enqueuedAt) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -219,6 +219,7 @@
 		Grouped:   c.cfg.Services[c.service].Group != nil,
 		Urgency:   c.urgency,
 		Excluded:  c.mayHaveRun,
+		Begun:     len(c.mayHaveRun) > 0,
 		Suspect:   admission.Suspect,
 		Placement: admission.Placement,
 		Deadline:  c.deadline,
