Let entries share a rank whose load they do not know

Cause: without a report of the last 1.5 s, an entry counted its own requests only, and its quota did not hold. What it knew of the rank is dropped with the rank's entry in the list. The same held for all ranks whenever the status was away for that long. Class: each of several processes takes for itself, while it knows nothing, what all of them share.

Now it keeps to its share of the slots, as of those that a report shows to be free. Rounding goes up or down in turn, so that the shares add up and no entry is shut out; of a rank without a known group it takes the least share of all.

TestEntriesShareRanksWithoutReport: 14 entries took 1400 of 100 slots, and 2800 of 200 without any status, before.

--- a/dispatch/allotment.go
+++ b/dispatch/allotment.go
@@ -12,6 +12,9 @@
 	// by which this process may exceed those of its own that the last report counted.
 	slots int
 	quota int
+	// share is the fraction of the slots that this process may take while the load of the
+	// rank is not known.
+	share float64
 }
 
 // tier is the place of an urgency among those in use at a service.
@@ -95,11 +98,13 @@
 	return state
 }
 
-// allotment returns what requests of the tier may use of a rank with a given state.
-func (t tier) allotment(state *upstreamState, passes *passRoom) allotment {
+// allotment returns what requests of the tier may use of a rank with a given state, of whose
+// group this process may take a share.
+func (t tier) allotment(state *upstreamState, passes *passRoom, share float64) allotment {
 	a := allotment{
 		slots: t.slots(state, passes),
 		quota: state.slotQuota,
+		share: share,
 	}
 	if t.least {
 		a.quota = min(a.quota, state.yieldQuota)
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -108,10 +108,11 @@
 
 // accepts reports whether a rank may get a request of a tier.
 func (q *queue) accepts(state *upstreamState, t tier, late bool, now time.Time) bool {
-	if state.accepts(t.allotment(state, &q.group(state.group).passRoom), late, now) {
+	share, group := q.allowance(state.group), q.group(state.group)
+	if state.accepts(t.allotment(state, &group.passRoom, share), late, now) {
 		return true
 	}
-	q.heldBack = q.heldBack || t.yields && state.accepts(tier{}.allotment(state, nil), late, now)
+	q.heldBack = q.heldBack || t.yields && state.accepts(tier{}.allotment(state, nil, share), late, now)
 	return false
 }
 
@@ -163,6 +164,21 @@
 	return known > 0
 }
 
+// allowance returns the fraction of the free slots of a group that this process may take. A
+// rank whose group is not known is taken to be in the one that leaves it least.
+func (q *queue) allowance(name GroupName) float64 {
+	if name != "" {
+		return q.loadShare(name).allowance()
+	}
+	least := 1.0
+	for known, group := range q.groups {
+		if known != "" {
+			least = min(least, group.loadShare.allowance())
+		}
+	}
+	return least
+}
+
 // loadShare returns this process's load share at a group.
 func (q *queue) loadShare(group GroupName) *loadShare {
 	return &q.group(group).loadShare
--- a/dispatch/room_test.go
+++ b/dispatch/room_test.go
@@ -39,8 +39,9 @@
 	want := allotment{
 		slots: limitSlots,
 		quota: 3,
+		share: 1,
 	}
-	got := q.tier(relaxed, now).allotment(state, passes)
+	got := q.tier(relaxed, now).allotment(state, passes, 1)
 	if diff := cmp.Diff(want, got, cmp.AllowUnexported(allotment{})); diff != "" {
 		t.Errorf("allotment (-want +got):\n%s", diff)
 	}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -208,6 +209,7 @@
 	state := getOrCreate(&s.upstreams, name)
 	if !known {
 		state.phase = phaseOf(string(name)) // the same at all entries
+		state.remainder = rand.Float64()
 	}
 	return state
 }
--- a/dispatch/share_test.go
+++ b/dispatch/share_test.go
@@ -149,18 +149,7 @@
 			s.ObserveEntries(service, groupName, entries)
 			s.ObserveGroup(service, groupName, loads, 0)
 			shares += s.LoadShare()
-			for {
-				ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
-				_, err := s.Acquire(ctx, dispatch.Request{
-					Service: service,
-					Grouped: true,
-				})
-				cancel()
-				if err != nil {
-					break
-				}
-				taken++
-			}
+			taken += takeAll(t, s)
 		}
 		const free = ranks * slots
 		if taken < free/2 || taken > 2*free {
@@ -171,3 +160,70 @@
 		}
 	})
 }
+
+// Guards against a rank that comes back into the list, or all ranks while no status comes,
+// getting the slots of all entries together: requests wait there until their callers leave.
+func TestEntriesShareRanksWithoutReport(t *testing.T) {
+	const (
+		entries = 14
+		ranks   = 20
+		slots   = 10
+	)
+	tests := map[string]struct {
+		// reported is the number of ranks in the status, age its age.
+		reported int
+		age      time.Duration
+	}{
+		"some ranks are in no status": {
+			reported: ranks / 2,
+		},
+		"no status has come for long": {
+			reported: ranks,
+			age:      10 * time.Second,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				loads := make(map[foxtailstack.Address]dispatch.RankLoad, ranks)
+				for i := range test.reported {
+					loads[rankAddress(i)] = dispatch.RankLoad{
+						Load:     exchange.Load{Running: slots},
+						Slowdown: 1,
+					}
+				}
+				taken := 0
+				for range entries {
+					s := newScheduler(ranks, slots)
+					s.ObserveEntries(service, groupName, entries)
+					s.ObserveGroup(service, groupName, loads, 0)
+					time.Sleep(test.age)
+					taken += takeAll(t, s)
+				}
+				free := ranks * slots
+				if test.age == 0 {
+					free = (ranks - test.reported) * slots
+				}
+				if taken < free/2 || taken > 2*free {
+					t.Errorf("%d entries take %d of %d slots, want at least half and at most twice as many", entries, taken, free)
+				}
+			})
+		})
+	}
+}
+
+// takeAll reserves all slots that a scheduler grants, and returns their number.
+func takeAll(t *testing.T, s *dispatch.Scheduler) int {
+	t.Helper()
+	for n := 0; ; n++ {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		_, err := s.Acquire(ctx, dispatch.Request{
+			Service: service,
+			Grouped: true,
+		})
+		cancel()
+		if err != nil {
+			return n
+		}
+	}
+}
--- a/dispatch/upstreamstate.go
+++ b/dispatch/upstreamstate.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/foxtailstack/foxtailstack/exchange"
@@ -72,6 +73,9 @@
 	yieldQuota     int
 	yieldSlots     int
 	reportedAt     time.Time
+	// remainder, from 0 to 1, differs at random between ranks and entries (see
+	// unreportedQuota).
+	remainder float64
 	// ejectedUntil and refusedUntil are the times until which the upstream is used
 	// only if there is no other: because of failed connections or a new owner of its
 	// address, and because it refused a request.
@@ -140,16 +144,33 @@
 }
 
 // full reports whether all slots of an allotment are estimated to be taken, or this process
-// has used up its quota of the free ones. The quota is ignored once the last report is older
-// than loadTTL. An upstream whose number of slots is not known is never full.
+// has used up its quota of the free ones. Once the last report is older than loadTTL, nothing
+// is known of the requests of other entries, and the process keeps to its share of all slots.
+// An upstream whose number of slots is not known is never full.
 func (s *upstreamState) full(a allotment, now time.Time) bool {
 	if a.slots == 0 {
 		return false
 	}
-	if now.Sub(s.reportedAt) < loadTTL && s.running-s.reportedOwn >= a.quota {
-		return true
+	if now.Sub(s.reportedAt) >= loadTTL {
+		return s.running >= s.unreportedQuota(a, now)
 	}
-	return s.load(now) > float64(a.slots)-1
+	return s.running-s.reportedOwn >= a.quota || s.load(now) > float64(a.slots)-1
+}
+
+const (
+	// remainderTime is how long an entry keeps the slot that rounding leaves over, and
+	// remainderStep by what its place then advances. Multiples of it spread evenly between 0
+	// and 1.
+	remainderTime = time.Second
+	remainderStep = math.Phi - 1
+)
+
+// unreportedQuota returns the number of requests that this process may have at a rank whose
+// load it does not know. Rounded up or down in turn, the quotas of all entries add up to
+// about their share of the slots.
+func (s *upstreamState) unreportedQuota(a allotment, now time.Time) int {
+	_, remainder := math.Modf(s.remainder + remainderStep*float64(now.UnixNano()/int64(remainderTime)))
+	return min(a.slots, int(float64(a.slots)*a.share+remainder))
 }
 
 // accepts reports whether a rank may get a request with an allotment. A late request must
