Let requests that have begun use the slots that keep passes short

Cause: after a burst the limit that keeps passes short lies below the number of streams that run, so that slots which become free are left free, by requests that have begun as well. They had a slot until now; there are as many of them as ran at the rank that fell silent.

Now they may use all slots of a rank, and no quota of free ones holds for them.

--- a/dispatch/allotment.go
+++ b/dispatch/allotment.go
@@ -15,6 +15,8 @@
 	// share is the fraction of the slots that this process may take while the load of the
 	// rank is not known.
 	share float64
+	// begun is set for requests that have begun, for which no quota holds.
+	begun bool
 }
 
 // tier is the place of an urgency among those in use at a service.
@@ -25,6 +27,8 @@
 	least  bool
 	// reserved is the number of slots of each rank to leave free for the more urgent ones.
 	reserved float64
+	// begun is set for requests that have begun, whatever their urgency.
+	begun bool
 }
 
 // tier returns the place of an urgency.
@@ -99,8 +103,15 @@
 }
 
 // allotment returns what requests of the tier may use of a rank with a given state, of whose
-// group this process may take a share.
-func (t tier) allotment(state *upstreamState, passes *passRoom, share float64) allotment {
+// group this process may take a share. all is the number of its slots: requests that have
+// begun may use those too which others leave free to keep passes short.
+func (t tier) allotment(state *upstreamState, passes *passRoom, share float64, all int) allotment {
+	if t.begun {
+		return allotment{
+			slots: all,
+			begun: true,
+		}
+	}
 	a := allotment{
 		slots: t.slots(state, passes),
 		quota: state.slotQuota,
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -33,7 +33,7 @@
 	bestCost := 0.0
 	ready := s.Fleet().Ready(request.Service)
 	sampled := 0
-	place := tier{}
+	place := tier{begun: true}
 	if !request.Begun {
 		place = q.tier(request.Urgency, now)
 	}
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -109,10 +109,10 @@
 // accepts reports whether a rank may get a request of a tier.
 func (q *queue) accepts(state *upstreamState, t tier, late bool, now time.Time) bool {
 	share, group := q.allowance(state.group), q.group(state.group)
-	if state.accepts(t.allotment(state, &group.passRoom, share), late, now) {
+	if state.accepts(t.allotment(state, &group.passRoom, share, group.maxSlots), late, now) {
 		return true
 	}
-	q.heldBack = q.heldBack || t.yields && state.accepts(tier{}.allotment(state, nil, share), late, now)
+	q.heldBack = q.heldBack || t.yields && state.accepts(tier{}.allotment(state, nil, share, group.maxSlots), late, now)
 	return false
 }
 
--- a/dispatch/room_test.go
+++ b/dispatch/room_test.go
@@ -41,7 +41,7 @@
 		quota: 3,
 		share: 1,
 	}
-	got := q.tier(relaxed, now).allotment(state, passes, 1)
+	got := q.tier(relaxed, now).allotment(state, passes, 1, limitSlots)
 	if diff := cmp.Diff(want, got, cmp.AllowUnexported(allotment{})); diff != "" {
 		t.Errorf("allotment (-want +got):\n%s", diff)
 	}
--- a/dispatch/upstreamstate.go
+++ b/dispatch/upstreamstate.go
@@ -151,6 +151,9 @@
 	if a.slots == 0 {
 		return false
 	}
+	if a.begun {
+		return s.load(now) > float64(a.slots)-1
+	}
 	if now.Sub(s.reportedAt) >= loadTTL {
 		return s.running >= s.unreportedQuota(a, now)
 	}
