Send no request twice on a connection

The users saw both on real processes, in equal numbers, without logs.

Cause: a request that a worker has refused may be sent to the same worker again, and then takes the connection that was used last. A response is told by the ID of its request, which is the same for both attempts: the repeated refusal of the first was taken for the response to the second, which ran. The check of idle connections for data does not help, since the worker writes the refusal when the next request arrives. Class: an identifier that is unique to a request and not to an attempt.

Now an attempt never takes a connection that has carried the request before. Responses to other requests were discarded by their ID before, too. Attempts of the own interface have an identifier each and are not concerned.

--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -45,14 +46,17 @@
 	dials uint64
 }
 
-// Get returns an idle connection to an upstream, or establishes one.
+// Get returns an idle connection to an upstream that is not one of used, or establishes
+// one. used holds the connections that have carried the request before: a response on
+// them to an earlier attempt has the same ID as one to the next.
 func (p *Pool) Get(
 	ctx context.Context,
 	name foxtailstack.UpstreamName,
 	address foxtailstack.Address,
+	used ...*Conn,
 ) (*Conn, error) {
 	for {
-		conn := p.takeIdle(name)
+		conn := p.takeIdle(name, used)
 		if conn == nil {
 			break
 		}
@@ -140,18 +144,20 @@
 	p.idle[name] = append(p.idle[name], conn)
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil if
-// there is none.
-func (p *Pool) takeIdle(name foxtailstack.UpstreamName) *Conn {
+// takeIdle removes and returns the most recently used idle connection that is not one of
+// used, or nil if there is none.
+func (p *Pool) takeIdle(name foxtailstack.UpstreamName, used []*Conn) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[name]
-	if len(conns) == 0 {
-		return nil
+	for i, conn := range slices.Backward(conns) {
+		if slices.Contains(used, conn) {
+			continue
+		}
+		p.idle[name] = slices.Delete(conns, i, i+1)
+		return conn
 	}
-	conn := conns[len(conns)-1]
-	p.idle[name] = conns[:len(conns)-1]
-	return conn
+	return nil
 }
 
 // Dials returns the number of connections established so far.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -20,7 +20,7 @@
 	began := time.Now()
 	u := reservation.Upstream
 	c.upstream = u.Name
-	conn, err := c.gateway.Pool.Get(ctx, u.Name, u.Address)
+	conn, err := c.gateway.Pool.Get(ctx, u.Name, u.Address, c.conns...)
 	if err != nil {
 		return c.unreachable(ctx, reservation, err)
 	}
@@ -35,6 +35,7 @@
 	stop := context.AfterFunc(ctx, func() { c.abandon(u.Name, conn) })
 	defer stop()
 	c.sentTo[u.Name] = true
+	c.conns = append(c.conns, conn)
 	c.sendCount++
 	sendsTotal.Inc()
 	if c.stream.headerSent {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -73,8 +73,10 @@
 
 	// sentTo holds the upstreams to which the request was written; mayHaveRun
 	// holds those of them that may have run it.
-	sentTo       map[foxtailstack.UpstreamName]bool
-	mayHaveRun   map[foxtailstack.UpstreamName]bool
+	sentTo     map[foxtailstack.UpstreamName]bool
+	mayHaveRun map[foxtailstack.UpstreamName]bool
+	// conns holds the connections to which the request was written.
+	conns        []*exchange.Conn
 	sendCount    int
 	dialFailures int
 	// refusals counts the upstreams that refused because they were full or because
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -152,7 +152,9 @@
 
 // upstream starts an upstream behind a proxy and registers it.
 func (s *system) upstream(kind, i int, service string, handler http.Handler) *httptest.Server {
-	served := httptest.NewServer(handler)
+	served := httptest.NewUnstartedServer(handler)
+	served.Listener = standin.RepeatingListener{Listener: served.Listener}
+	served.Start()
 	s.stops = append(s.stops, served.CloseClientConnections, served.Close)
 	name := fmt.Sprintf("%s-%d", service, i)
 	s.addProxy("upstream "+name, s.address(kind, i, upstreamPort), served.Listener.Addr().String())
@@ -167,11 +169,12 @@
 		entryOf: func(id string) int { return s.entryOf(id) },
 	}
 	s.leavers = append(s.leavers, l)
+	f := &refuser{next: l.ServeHTTP}
 	c := &crasher{
 		log:      s.crashes,
 		register: func(name string) { s.register(plainMachine, i, "drafts", name) },
 		name:     fmt.Sprintf("drafts-%d", i),
-		work:     l.ServeHTTP,
+		work:     f.ServeHTTP,
 	}
 	c.served = s.upstream(plainMachine, i, "drafts", c)
 }
