Answer 502 where an upstream refuses a booking that it may have run

A caller whose booking an upstream answered with 503, 429 or 408 got that status: 'not run, come back'.

Cause: the response of an upstream was passed on whatever its status, although to the caller of this gateway some statuses are a promise. Class: a statement taken over from another party that did not make it.

Now such a response to a request that is not idempotent counts as a failure: 502, which promises nothing. Lookups and streams that may be resumed are unchanged.

TestResponses: the three bookings got 503, 429 and 408 before, 502 now.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -228,6 +228,15 @@
 	}
 )
 
+// answeringWith returns a worker that has run the request and responds with a status, with
+// the proof of origin.
+func answeringWith(status int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		standin.Prove(w, r)
+		w.WriteHeader(status)
+	}
+}
+
 // Guards against work that continues at an upstream after the caller has
 // disconnected.
 func TestCallerDisconnects(t *testing.T) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -33,8 +33,19 @@
 	errTooLong        = errors.New("response is longer than can be buffered")
 	errBrokenOff      = errors.New("response broke off")
 	errTruncatedEvent = errors.New("stream ended within an event, or the event is too long")
+	errFalseRefusal   = errors.New("upstream refused a request without stating that it has not run")
 )
 
+// refuses reports whether a status tells callers that their request has not run.
+func refuses(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests,
+		http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // bufferedResponse is a response whose body was read completely.
 type bufferedResponse struct {
 	status int
@@ -78,6 +89,10 @@
 		conn.Close()
 		return c.failed(ctx, reservation, errUnproven)
 	}
+	if refuses(in.Status) && !c.route.Idempotent() {
+		conn.Close()
+		return c.failed(ctx, reservation, fmt.Errorf("%w: status %d", errFalseRefusal, in.Status))
+	}
 	if success && isStream(in.Header) {
 		return c.relayStream(ctx, reservation, conn, in)
 	}
--- a/gateway/responses_test.go
+++ b/gateway/responses_test.go
@@ -125,6 +125,34 @@
 			},
 			maxCalls: 3,
 		},
+		// Guards against a booking that has run and is answered as if it had not.
+		"booking that the worker ran and answered with 503 gets 502": {
+			path:    booking,
+			workers: []http.HandlerFunc{answeringWith(http.StatusServiceUnavailable), good},
+			want: callerResponse{
+				Status: 502,
+				Body:   "upstreams-failed\n",
+			},
+			maxCalls: 1,
+		},
+		"booking that the worker ran and answered with 429 gets 502": {
+			path:    booking,
+			workers: []http.HandlerFunc{answeringWith(http.StatusTooManyRequests), good},
+			want: callerResponse{
+				Status: 502,
+				Body:   "upstreams-failed\n",
+			},
+			maxCalls: 1,
+		},
+		"booking that the worker ran and answered with 408 gets 502": {
+			path:    booking,
+			workers: []http.HandlerFunc{answeringWith(http.StatusRequestTimeout), good},
+			want: callerResponse{
+				Status: 502,
+				Body:   "upstreams-failed\n",
+			},
+			maxCalls: 1,
+		},
 		"booking past its route's timeout gets 504": {
 			path:    booking,
 			workers: []http.HandlerFunc{hanging},
