Let streams leave a silent rank after two passes of its group

Callers of streams at a silent rank left while those waited for evidence: the planner's machine had stood still within a switch, the group was held for 0.7 to 1.5 s, and five passes of 0.1 s had to be made after that before a stream left the rank.

Cause: the same number of passes was asked for whether or not the planner had already found the rank silent. Two agreeing signs need less of each.

Now two passes without an event suffice at a silent rank, five elsewhere as before; the least time without an event stays at 0.4 s. TestStreamLeavesSilentRankSoonAfterHold: 400 to 500 ms after the hold before, at most 300 ms now.

--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -18,9 +18,10 @@
 	// must have counted in that time. Ranks work in lock-step: a rank whose streams
 	// stall while those of other ranks proceed is therefore unreachable. A stream
 	// without a first event may be queued at its rank, and counts as stalled only
-	// if the scheduler reports the rank silent.
-	minStallTime   = 400 * time.Millisecond
-	minStallPasses = 5
+	// if the scheduler reports the rank silent. Such a rank needs minSilentPasses only.
+	minStallTime    = 400 * time.Millisecond
+	minStallPasses  = 5
+	minSilentPasses = 2
 )
 
 // progress records when a stream was sent to its current rank or received its last
@@ -104,11 +105,12 @@
 		c.progress.passes = passes
 		return nil
 	}
-	if passes.Count < c.progress.passes.Count+minStallPasses {
-		return nil
+	missed := passes.Count - c.progress.passes.Count
+	if scheduler.Silent(c.upstream) && missed >= minSilentPasses {
+		return errStalled
 	}
-	if !c.progress.eventReceived && !scheduler.Silent(c.upstream) {
-		return nil
+	if c.progress.eventReceived && missed >= minStallPasses {
+		return errStalled
 	}
-	return errStalled
+	return nil
 }
--- a/gateway/moved_test.go
+++ b/gateway/moved_test.go
@@ -112,3 +112,51 @@
 		}
 	})
 }
+
+// Guards against streams that stay at a silent rank until their callers have hardly any
+// patience left, because the group was held as the rank fell silent and then makes slow passes.
+func TestStreamLeavesSilentRankSoonAfterHold(t *testing.T) {
+	const (
+		holdTime = 700 * time.Millisecond
+		slowPass = 100 * time.Millisecond
+		// leaveTime bounds the time from the end of the hold: two passes and a check.
+		leaveTime = 3 * slowPass
+	)
+	synctest.Test(t, func(t *testing.T) {
+		silent := make(chan string, 1)
+		left := make(chan time.Time, 1)
+		calls := callCounter{}
+		var workers []http.HandlerFunc
+		for i := range 3 {
+			workers = append(workers, inOrder(&calls, func(w http.ResponseWriter, r *http.Request) {
+				silent <- fmt.Sprintf("worker-%d:80", i)
+				silentAfterTwo(w, r)
+			}, func(w http.ResponseWriter, r *http.Request) {
+				left <- time.Now()
+				pacedEvents(w, r)
+			}))
+		}
+		tg := newTestGatewayOn(t, &pipeNetwork{}, "models", workers...)
+		tg.timeout = 4 * time.Second
+		tg.reportRank("none", reportSilent) // lists all ranks
+		ended := make(chan callerResponse, 1)
+		go func() { ended <- tg.stream(t, "r1") }()
+		time.Sleep(holdTime)
+		released := time.Now()
+		tg.reportRank(<-silent, reportSilent)
+		for range 10 {
+			time.Sleep(slowPass)
+			tg.gateway.Scheduler.ObserveEventGap("models", "w0", slowPass)
+		}
+		if took := (<-left).Sub(released); took > leaveTime {
+			t.Errorf("stream left the silent rank %s after the hold, want at most %s", took, leaveTime)
+		}
+		want := callerResponse{
+			Status: http.StatusOK,
+			Body:   wantEvents(1, movedEvents),
+		}
+		if diff := cmp.Diff(want, <-ended); diff != "" {
+			t.Errorf("response differs (-want +got):\n%s", diff)
+		}
+	})
+}
