Send nothing for callers that left before their request was read

Cause: the server learns of the end of a connection by a read in another goroutine, which may run after the request has been sent. Class: an event that is already in the socket and is looked at later than what it decides.

Now the caller's socket is looked at right before a request is sent. One system call for each attempt; it does not wait for the server's own read.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -24,6 +24,12 @@
 	if err != nil {
 		return c.unreachable(ctx, reservation, err)
 	}
+	if c.callerLeft() {
+		c.callerGone = true
+		c.gateway.Pool.PutUnused(u.Name, conn)
+		reservation.Release(dispatch.Report{}) // inconclusive
+		return resultGiveUp
+	}
 	if !c.maySend(ctx, u) {
 		c.gateway.Pool.PutUnused(u.Name, conn)
 		reservation.Release(dispatch.Report{}) // inconclusive
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -62,8 +62,10 @@
 	body    []byte
 	// holding is what is held for the request.
 	holding memory.Holding
-	// callerSlow is set if the caller did not read its response.
+	// callerSlow is set if the caller did not read its response, callerGone if it has
+	// disconnected, which the context of the request need not show yet.
 	callerSlow bool
+	callerGone bool
 	arrived    time.Time
 	deadline   time.Time
 	service    foxtailstack.ServiceName
--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -27,7 +27,7 @@
 		slowCallersTotal.Inc()
 		c.finish(0, reasonCallerSlow)
 		panic(http.ErrAbortHandler) // closes the connection
-	case c.r.Context().Err() != nil:
+	case c.callerGone || c.r.Context().Err() != nil:
 		gap, _ := c.stream.sinceLastEvent(time.Now())
 		c.stream.longestGap = max(c.stream.longestGap, gap) // the gap may be why the caller disconnected
 		c.finish(0, reasonCallerDisconnected)
--- a/machine/entry.go
+++ b/machine/entry.go
@@ -180,6 +180,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       gateway.ConnContext,
 		ErrorLog:          zap.NewStdLog(e.log),
 	}
 	serveErr := make(chan error, 1)
