Let a sidecar that has just taken over planning begin

Cause: the first message of the new planner had not arrived yet, and the election's row, which names it, was read only for its version.

Now a sidecar that reads a version of that row which is not of the planner it has heard waits for 0.45 s, as for a planner within a switch, before it claims the row itself. One that has heard of no planner since its start does not wait.

--- a/group/candidate.go
+++ b/group/candidate.go
@@ -51,6 +51,11 @@
 	// yet.
 	GroupConfig func() *route.Group
 	Log         *zap.Logger
+
+	// successor is the version of the election's row that another sidecar wrote as it took
+	// over from the planner that this one last heard, and successorSeen when that was read.
+	successor     foxtailstack.StoreVersion
+	successorSeen time.Time
 }
 
 // Run takes over planning whenever the planner has timed out, until ctx ends.
@@ -99,6 +104,9 @@
 	if !c.Sidecar.plannerTimedOut(0) {
 		return 0, errors.New("another planner has sent a message meanwhile")
 	}
+	if c.precededBy(version, time.Now()) {
+		return 0, errors.New("another sidecar has just taken over")
+	}
 	claimed, err := c.Election.Claim(ctx, string(group), version, []byte(c.Name))
 	if errors.Is(err, foxtailstack.ErrUncertain) {
 		var value []byte
@@ -110,6 +118,21 @@
 	return foxtailstack.FencingToken(claimed), err
 }
 
+// precededBy reports whether another sidecar wrote a version of the election's row so shortly
+// before now that its first message may be on the way. It returns false if this sidecar has
+// not heard of any planner since it started: it does not know which version is new.
+func (c *Candidate) precededBy(version foxtailstack.StoreVersion, now time.Time) bool {
+	heard := c.Sidecar.plannerFence()
+	if heard == 0 || foxtailstack.FencingToken(version) == heard {
+		return false
+	}
+	if c.successor != version {
+		c.successor = version
+		c.successorSeen = now
+	}
+	return now.Sub(c.successorSeen) < switchingPlannerTimeout
+}
+
 // runPlanner runs a planner until another sidecar takes over or ctx ends. It
 // returns at once, without a log line, if the sidecar already knows a newer
 // planner.
--- a/group/sidecar.go
+++ b/group/sidecar.go
@@ -148,6 +148,14 @@
 	return time.Since(s.lastHeard) >= limit+extra
 }
 
+// plannerFence returns the fencing token of the newest planner that the sidecar has heard of
+// since it started, or zero.
+func (s *Sidecar) plannerFence() foxtailstack.FencingToken {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.planner.Fence
+}
+
 // startPlannerTimeout restarts the planner's timeout, as if a message had
 // arrived now.
 func (s *Sidecar) startPlannerTimeout() {
