--- a/gateway/call.go
+++ b/gateway/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
@@ -13,7 +12,6 @@
 	"github.com/foxtailstack/foxtailstack/memory"
 	"github.com/foxtailstack/foxtailstack/quarantine"
 	"github.com/foxtailstack/foxtailstack/route"
-	"go.uber.org/zap"
 )
 
 const (
@@ -25,22 +23,6 @@
 	// tried again; after that the caller gets a 503 with Retry-After. Streams that
 	// have begun outlast more.
 	maxRefusals = 2
-	// minTimeToFirstEvent is the typical time from sending a request to the first
-	// event of its stream. Estimates are never below it.
-	minTimeToFirstEvent = 180 * time.Millisecond
-	// passesToFirstEvent is the typical number of passes from sending a request to
-	// the first event of its stream. It is used in estimates only.
-	passesToFirstEvent = 2
-	// minPassTime is the lower bound of the pass time in estimates of the service
-	// time; a measured pass can be shorter. It does not apply to the time to the
-	// first event.
-	minPassTime = 40 * time.Millisecond
-	// maxOpeningTime bounds how much later than usual a first event is expected when a group
-	// opens.
-	maxOpeningTime = 500 * time.Millisecond
-	// lengthHintFactor scales the expected output length, which is the caller's
-	// estimate or else its limit. Such estimates are often too high.
-	lengthHintFactor = 0.7
 	// maxDialFailures is the number of failed connection attempts up to which a
 	// request is tried at another upstream.
 	maxDialFailures = 4
@@ -246,68 +228,6 @@
 	return reservation, err
 }
 
-// logMove logs to which upstream a request goes that was sent before, or why to none.
-func (c *call) logMove(reservation *dispatch.Reservation, err error, waited time.Duration) {
-	if len(c.mayHaveRun) == 0 {
-		return
-	}
-	to := foxtailstack.UpstreamName("")
-	if reservation != nil {
-		to = reservation.Upstream.Name
-	}
-	c.gateway.Log.Info("request moved",
-		zap.String("request", string(c.requestInfo.ID)),
-		zap.String("upstream", string(c.upstream)),
-		zap.String("to", string(to)),
-		zap.Int64("event", c.stream.lastEventID),
-		zap.Duration("waited", waited),
-		zap.Error(err))
-}
-
-// estimateTimes sets the time estimates of a request to a group. An event of a
-// stream takes a pass; events that the caller has are not made again. A stream whose
-// events come further apart than the route allows misses its target whenever it
-// starts. Its soft deadline is therefore the time of arrival, so that it counts as late
-// from the start and the queue serves requests that can still be on time before it.
-func (c *call) estimateTimes(request *dispatch.Request, group *route.Group) {
-	passTime := c.gateway.Scheduler.PassTime(c.service)
-	request.PassBounds = dispatch.PassBounds{
-		Base:        time.Duration(group.TokenStepsPerPass) * group.TokenStepTime,
-		PerRequest:  time.Duration(group.TokenStepsPerPass) * group.TokenStepTimePerSequence,
-		MaxEventGap: c.route.MaxEventGap,
-	}
-	request.SoftDeadline = c.arrived.Add(c.route.TargetLatency - minTimeToFirstEvent)
-	if c.route.MaxEventGap > 0 && passTime > c.route.MaxEventGap {
-		request.SoftDeadline = c.arrived
-	}
-	tokens := c.requestInfo.ExpectedOutputTokens
-	if tokens == 0 || c.requestInfo.MaxOutputTokens > 0 && tokens > c.requestInfo.MaxOutputTokens {
-		tokens = c.requestInfo.MaxOutputTokens
-	}
-	request.TimeToFirstEvent = max(minTimeToFirstEvent, passesToFirstEvent*passTime)
-	if c.gateway.Scheduler.Broken(c.service) {
-		request.TimeToFirstEvent += c.openingTime(group)
-	}
-	if c.route.Kind == route.Stream && !c.stream.headerSent {
-		request.AbandonAt = c.arrived.Add(c.route.AbandonTimeout())
-	}
-	events := int64(tokens)/int64(max(group.TokenStepsPerPass, 1)) - c.receivedEvents()
-	request.MinServiceTime = request.TimeToFirstEvent + time.Duration(lengthHintFactor*float64(max(events, 0)))*max(passTime, minPassTime)
-	c.minServiceTime = request.MinServiceTime
-	c.abandonAt = request.AbandonAt
-}
-
-// openingTime returns by how much the first event of a request that is sent when a group opens
-// is later than usual: all slots of the rank are filled at once, and the rank reads all
-// prompts before it begins to answer. The others are taken to be as long as this one.
-func (c *call) openingTime(group *route.Group) time.Duration {
-	if group.PromptTokensPerSecond <= 0 {
-		return 0
-	}
-	tokens := float64(group.Slots) * float64(c.requestInfo.PromptTokens)
-	return min(time.Duration(tokens/group.PromptTokensPerSecond*float64(time.Second)), maxOpeningTime)
-}
-
 // receivedEvents returns the ID of the last event that the caller has. Upstreams number
 // the events of a stream from one.
 func (c *call) receivedEvents() int64 {
@@ -337,18 +257,6 @@
 	return true
 }
 
-// logAttemptFailure logs why the current attempt failed.
-func (c *call) logAttemptFailure(message string, err error) {
-	c.gateway.Log.Info(message,
-		zap.String("request", string(c.requestInfo.ID)),
-		zap.String("upstream", string(c.upstream)),
-		zap.Int64("event", c.stream.lastEventID),
-		zap.Stringer("answer", c.answer),
-		zap.Stringer("fingerprint", c.subject.Request),
-		zap.String("parts", joinParts(c.requestInfo.SharedParts)),
-		zap.Error(err))
-}
-
 // allowedTime returns the timeout once the deadline has been set from it, or zero
 // before.
 func (c *call) allowedTime() time.Duration {
@@ -357,55 +265,3 @@
 	}
 	return c.deadline.Sub(c.arrived)
 }
-
-// finish logs the end of the request and updates the metrics.
-func (c *call) finish(status int, reason endReason) {
-	countRequest(status, reason, c.timeToFirstByte, time.Since(c.arrived))
-	queueSeconds.Update(c.queueTime.Seconds())
-	name := ""
-	target, allowedGap := time.Duration(0), time.Duration(0)
-	if c.route != nil {
-		name = c.route.Name
-		target = c.route.TargetLatency
-		allowedGap = c.route.MaxEventGap
-	}
-	config := uint64(0)
-	if c.cfg != nil {
-		config = uint64(c.cfg.Version)
-	}
-	c.gateway.Log.Info("request",
-		zap.String("request", string(c.requestInfo.ID)),
-		zap.String("route", name),
-		zap.String("team", string(c.team)),
-		zap.Int("urgency", c.urgency),
-		zap.String("service", string(c.service)),
-		zap.String("upstream", string(c.upstream)),
-		zap.Int("status", status),
-		zap.String("reason", string(reason)),
-		zap.Int("sends", c.sendCount),
-		zap.Stringer("fingerprint", c.subject.Request),
-		zap.String("parts", joinParts(c.requestInfo.SharedParts)),
-		zap.Int64("events", c.stream.lastEventID),
-		zap.Duration("waited", c.queueTime),
-		zap.Duration("first", c.timeToFirstByte),
-		zap.Duration("target", target),
-		zap.Duration("gap", c.stream.longestGap),
-		zap.Duration("allowed", allowedGap),
-		zap.Duration("took", time.Since(c.arrived)),
-		zap.Duration("given", c.allowedTime()),
-		zap.Int64("held", int64(c.holding.Peak())),
-		zap.Uint64("config", config),
-		zap.Duration("age", c.gateway.View.ConfigAge(c.gateway.Now())))
-}
-
-// joinParts returns the parts of a prompt in one field of the log.
-func joinParts(parts []exchange.PromptPart) string {
-	var b strings.Builder
-	for i, part := range parts {
-		if i > 0 {
-			b.WriteByte(',')
-		}
-		b.WriteString(string(part))
-	}
-	return b.String()
-}
