--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -24,5 +24,6 @@
 // upstream is avoided, that is, used only if there is no other, for a time after it
 // refused a request, and while it is ejected: after a connection to it failed or its
 // address was found to belong to another upstream. A request is late once its soft
-// deadline has passed.
+// deadline has passed. It has begun if an upstream may have run it in part; such requests
+// come before all others.
 package dispatch
