Close the connection of a caller that ends its own side

A caller that ended its side of the connection after its request, and still read, got '200 OK' with an empty body, or a stream that was cut and ended as if it were complete.

Cause: the server reports the end of the caller's side as the end of the request's context; the gateway then returned from its handler without a response, for which the server writes an empty success, or the end of the stream. Class: a default of a library that stands for a decision.

Now the handler aborts, so that the server closes the connection. The answer itself is lost to such a caller, as before: the server cannot tell it from one that has left.

With it, the bound for silent ranks is written without a difference of unsigned counts, and a comment is wrapped anew.

--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -11,9 +11,8 @@
 const lastChanceTime = 300 * time.Millisecond
 
 // order returns the waiters in the order in which they are served. Those that have begun come
-// first: they are as few as retries are. Urgent requests come
-// before less urgent ones, also if they are late: a burst of less urgent ones must not
-// delay them. Within an urgency, requests that can still be on time come first, then late
+// first: there are as few of them as of retries. Urgent requests come before less urgent
+// ones, also if they are late: a burst of less urgent ones must not delay them. Within an urgency, requests that can still be on time come first, then late
 // ones that would soon be impossible to serve, then other late ones. Late requests come
 // last so that a backlog of them does not make all that follow late too. Of those that
 // can be on time the newest come next: in an overload the oldest would each be served
--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -13,7 +13,7 @@
 )
 
 // giveUp ends a request for which no attempt succeeded. If the caller has
-// disconnected, it sends nothing. If a stream has begun, it aborts the connection.
+// disconnected, it sends nothing and closes the connection. If a stream has begun, it aborts the connection.
 // Otherwise it relays the last error response of an upstream if there is one, or
 // else responds with a status that states whether the request may have run.
 func (c *call) giveUp(ctx context.Context, err error) {
@@ -31,6 +31,7 @@
 		gap, _ := c.stream.sinceLastEvent(time.Now())
 		c.stream.longestGap = max(c.stream.longestGap, gap) // the gap may be why the caller disconnected
 		c.finish(0, reasonCallerDisconnected)
+		panic(http.ErrAbortHandler) // closes the connection: a caller may have ended only its own side
 	case c.stream.headerSent:
 		c.finish(0, reasonStreamBroken)
 		panic(http.ErrAbortHandler) // closes the connection, so that the caller sees a truncated response
--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -105,12 +105,15 @@
 		c.progress.passes = passes
 		return nil
 	}
-	missed := passes.Count - c.progress.passes.Count
-	if scheduler.Silent(c.upstream) && missed >= minSilentPasses {
-		return errStalled
+	needed := dispatch.PassCount(minStallPasses)
+	switch {
+	case scheduler.Silent(c.upstream):
+		needed = minSilentPasses
+	case !c.progress.eventReceived:
+		return nil // it may wait for its turn at the rank
 	}
-	if c.progress.eventReceived && missed >= minStallPasses {
-		return errStalled
+	if passes.Count < c.progress.passes.Count+needed {
+		return nil
 	}
-	return nil
+	return errStalled
 }
