Let the soak's upstreams refuse requests during trouble only

The refusals that came with the repeated ones went on in calm, where one upstream leaves or pauses and another names a limit besides. The bound holds for upstreams without trouble, so that these refusals belong to the trouble. The bound is as before.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -102,6 +102,8 @@
 
 // trouble injects overlapping faults for a time and waits until they have ended.
 func (s *system) trouble(rng *rand.Rand, c *callers, round int) {
+	s.inTrouble.Store(true)
+	defer s.inTrouble.Store(false)
 	var wg sync.WaitGroup
 	until := time.Now().Add(troubleTime)
 	for time.Now().Before(until) {
