--- a/review/stand/interference.go
+++ b/review/stand/interference.go
@@ -11,7 +11,7 @@
 // Figures of the case in which clients read slowly.
 const (
 	interferenceTime = 40 * time.Second
-	longAnswer       = 4_000_000
+	longAnswer       = 6_000_000
 	slowReadBytes    = 4 << 10
 	slowReadPause    = 20 * time.Millisecond
 	hupInterval      = 4 * time.Second
