--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # standard library only.
 set -e
 cd "$(dirname "$0")"
-go build -o ../target/review-stand ./stand
+go build -o ../target/review-stand ./platform
--- a/review/stand/client.go
+++ b/review/platform/client.go
@@ -59,10 +59,25 @@
 	pause                  time.Duration
 }
 
-// calls holds all calls.
+// calls holds all calls that have ended, and the entry of each that was sent.
 type calls struct {
-	mu  sync.Mutex
-	all []*call
+	mu      sync.Mutex
+	all     []*call
+	entries map[string]string
+}
+
+// sentTo records the entry to which a request goes.
+func (l *calls) sentTo(id, entry string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries[id] = entry
+}
+
+// entryOf returns the entry to which a request was sent.
+func (l *calls) entryOf(id string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.entries[id]
 }
 
 func (l *calls) add(c *call) {
@@ -144,6 +159,7 @@
 		return made
 	}
 	made.entry = c.entryOf(c.conn.RemoteAddr().String())
+	c.calls.sentTo(made.id, made.entry)
 	made.kept = c.requests > 0
 	c.requests++
 	request := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nApi-Key: %s\r\n",
--- a/review/stand/endless.go
+++ b/review/platform/endless.go
@@ -13,10 +13,13 @@
 const (
 	endlessTime    = 60 * time.Second
 	endlessEntries = 2
-	// endlessRate is the rate at which the worker in trouble sends in bytes a second over all
-	// its channels: somewhat less than the links of the front machines take together.
-	endlessRate  = endlessEntries * linkBytes * 9 / 10
+	// endlessRate is the rate at which the worker in trouble sends to each entry, in bytes a
+	// second over all its channels: somewhat less than the link of a front machine takes.
+	endlessRate  = linkBytes * 9 / 10
 	endlessChunk = 64 << 10
+	// streamPatience is four times the objective of the streams, 1,000 ms: the gap after which
+	// clients abandon a stream.
+	streamPatience = 4 * time.Second
 	// lostAllowed and endsAllowed are the bounds of rule LOST and of the fault.
 	lostAllowed = 3
 	endsAllowed = 2
@@ -75,17 +78,20 @@
 	}
 	bad := b.workers[0]
 	if b.trouble {
-		p := &pacer{}
+		links := make(map[string]*pacer)
+		for _, e := range b.entries {
+			links[e.name] = &pacer{}
+		}
 		bad.trouble = func(t *work, one *run) bool {
 			one.trouble = true
-			misbehave(bad, t, p)
+			misbehave(bad, t, links[b.calls.entryOf(t.id)])
 			return true
 		}
 	}
 	until := time.Now().Add(endlessTime)
 	var wg sync.WaitGroup
 	b.repeat(&wg, 8, until, 100*time.Millisecond, func(c *client) {
-		c.send("stream", http.MethodPost, "/stream/1", "prompt", 8*time.Second, 2*time.Second)
+		c.send("stream", http.MethodPost, "/stream/1", "prompt", 8*time.Second, streamPatience)
 	})
 	b.repeat(&wg, 12, until, 100*time.Millisecond, func(c *client) {
 		c.send("unsafe", http.MethodPost, "/unsafe/800/x", "order", 2500*time.Millisecond, 2500*time.Millisecond)
--- a/review/stand/main.go
+++ b/review/platform/main.go
@@ -1,4 +1,4 @@
-// Stand runs the scripts of the review: the project's own programs beside stand-ins of the
+// Review-stand runs the scripts of the review: the project's own programs beside stand-ins of the
 // platform's store, of workers and of clients.
 package main
 
@@ -50,7 +50,7 @@
 		"gapAimMs":        120,
 	}
 	resumable := map[string]any{
-		"targetLatencyMs": 400,
+		"targetLatencyMs": 1000,
 		"gapAimMs":        120,
 		"resumable":       true,
 		"maxAttempts":     2,
@@ -106,52 +106,77 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: review-stand CASE FOLDER")
 		os.Exit(exitFailed)
 	}
-	broken, err := runCase(os.Args[1], os.Args[2])
-	switch {
-	case err != nil:
+	os.Exit(runCase(os.Args[1], os.Args[2]))
+}
+
+// result is how a case ended.
+type result struct {
+	broken bool
+	err    error
+}
+
+// runCase runs a case, ends all that it started and returns the exit code.
+func runCase(name, folder string) int {
+	b, err := newBench(folder)
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitFailed)
-	case broken:
-		os.Exit(exitBroken)
+		return exitFailed
+	}
+	defer b.close()
+	ended := make(chan result, 1)
+	go func() {
+		broken, err := cases[name](b)
+		ended <- result{
+			broken: broken,
+			err:    err,
+		}
+	}()
+	var got result
+	select {
+	case got = <-ended:
+	case <-time.After(caseLimit):
+		got.err = fmt.Errorf("not done after %s", caseLimit)
 	}
+	switch {
+	case got.err != nil:
+		b.record.printf("could not run: %v", got.err)
+		return exitFailed
+	case got.broken:
+		b.record.printf("rule broken")
+		return exitBroken
+	}
+	b.record.printf("rule held")
+	return 0
 }
 
-// runCase runs a case and ends all that it started.
-func runCase(name, folder string) (bool, error) {
+// newBench returns what a case runs on. Its record goes into a folder.
+func newBench(folder string) (*bench, error) {
 	r, err := newRecord(filepath.Join(folder, "record.txt"))
 	if err != nil {
-		return false, err
+		return nil, err
 	}
-	defer r.file.Close()
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
-		return false, err
+		return nil, err
 	}
-	defer os.RemoveAll(dir)
-	b := &bench{
+	return &bench{
 		record:  r,
 		store:   newStore(),
 		runs:    &runs{of: make(map[string][]*run)},
-		calls:   &calls{},
+		calls:   &calls{entries: make(map[string]string)},
 		dir:     dir,
 		trouble: os.Getenv("TROUBLE") != "0",
-	}
-	defer b.stop()
-	time.AfterFunc(caseLimit, func() {
-		r.printf("not done after %s", caseLimit)
-		b.stop()
-		os.Exit(exitFailed)
-	})
-	broken, err := cases[name](b)
-	if err != nil {
-		r.printf("could not run: %v", err)
-		return false, err
-	}
-	r.printf("rule broken: %v", broken)
-	return broken, nil
+	}, nil
+}
+
+// close ends all processes that the case started and removes what it wrote.
+func (b *bench) close() {
+	b.stop()
+	_ = os.RemoveAll(b.dir)
+	_ = b.record.file.Close()
 }
 
 // stop ends all processes that the case started.
--- a/review/stand/process.go
+++ b/review/platform/process.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -153,8 +154,16 @@
 	return e
 }
 
+// errStopped means that an entry was stopped for good.
+var errStopped = errors.New("stopped for good")
+
 // start starts the process.
 func (e *entry) start() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stopped {
+		return errStopped
+	}
 	out, err := os.OpenFile(e.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -171,9 +180,7 @@
 		_ = cmd.Wait()
 		close(ended)
 	}()
-	e.mu.Lock()
 	e.cmd, e.ended = cmd, ended
-	e.mu.Unlock()
 	return nil
 }
 
