Bound the events of streams and what is held of them

Cause: readEvent collected the lines of an event until an empty one and checked its limit only within lines longer than its buffer. What it collected was in no account.

Why the fix works: every event is bounded by 1 MiB, and what is collected of all events by a sixteenth of the process's memory, a quarter of that for one upstream, so that one upstream cannot take the room of the others. The copy that a growing buffer makes is counted. What passes a bound fails the attempt, which the existing retries and the failure rate see. It is no sign of a crash: the request is not quarantined.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,6 +38,8 @@
 	if admission.Outdated.Err() != nil {
 		return c.outdated(reservation, conn)
 	}
+	c.incoming = c.gateway.Incoming.Holding(string(u.Name))
+	defer c.incoming.Release()
 	stop := context.AfterFunc(ctx, func() { c.abandon(u.Name, conn) })
 	defer stop()
 	c.sentTo[u.Name] = true
@@ -140,6 +142,7 @@
 		return resultGiveUp
 	}
 	c.logAttemptFailure("attempt failed", err)
+	c.countBound(err)
 	outcome := dispatch.Failed
 	switch {
 	case errors.Is(err, errStalled):
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,7 +35,7 @@
 )
 
 // Gateway is the http.Handler for callers' requests. All exported fields except
-// KeyRevocation and Memory must be set before the first request.
+// KeyRevocation, Memory and Incoming must be set before the first request.
 type Gateway struct {
 	View        *watch.View
 	Scheduler   *dispatch.Scheduler
@@ -52,6 +52,8 @@
 	// Memory is the account of what is held for callers: their bodies, and responses that
 	// are buffered.
 	Memory memory.Account
+	// Incoming is the account of the heads and events that are being read from each upstream.
+	Incoming memory.Shares
 	// KeyRevocation is the time within which a revoked key must stop working. Zero
 	// disables the check of the configuration's age.
 	KeyRevocation time.Duration
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -18,22 +16,12 @@
 	"github.com/foxtailstack/foxtailstack/quarantine"
 )
 
-const (
-	// eventBuffer is the size of the read buffer for events in bytes.
-	eventBuffer = 1 << 10
-	// maxEvent is the length in bytes above which an event is rejected. It is checked
-	// only within lines longer than eventBuffer: an event of shorter lines is not
-	// limited.
-	maxEvent = 1 << 20
-)
-
 // Errors of responses. After each of them the request may have run.
 var (
-	errUnproven       = errors.New("response lacks the upstream's proof of origin or has a content encoding")
-	errTooLong        = errors.New("response is longer than can be buffered")
-	errBrokenOff      = errors.New("response broke off")
-	errTruncatedEvent = errors.New("stream ended within an event, or the event is too long")
-	errFalseRefusal   = errors.New("upstream refused a request without stating that it has not run")
+	errUnproven     = errors.New("response lacks the upstream's proof of origin or has a content encoding")
+	errTooLong      = errors.New("response is longer than can be buffered")
+	errBrokenOff    = errors.New("response broke off")
+	errFalseRefusal = errors.New("upstream refused a request without stating that it has not run")
 )
 
 // refuses reports whether a status tells callers that their request has not run.
@@ -146,15 +134,15 @@
 	in *exchange.IncomingResponse,
 ) attemptResult {
 	reservation.ResponseStarted()
-	reader := bufio.NewReaderSize(in.Body, eventBuffer)
+	reader := newEventReader(in.Body, c.incoming)
 	for {
-		event, err := readEvent(reader)
+		event, err := reader.next()
 		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
 			conn.Close()
-			return c.failed(ctx, reservation, fmt.Errorf("%w: %w", errBrokenOff, err))
+			return c.failed(ctx, reservation, brokenOff(err))
 		}
 		if event.hasContent {
 			c.recordBegun()
@@ -175,6 +163,15 @@
 	return resultServed
 }
 
+// brokenOff returns the error of a stream that ended early. One that passed a bound was ended
+// here: that is no sign of a crash.
+func brokenOff(err error) error {
+	if passedBound(err) != "" {
+		return err
+	}
+	return fmt.Errorf("%w: %w", errBrokenOff, err)
+}
+
 // startStream sends the header of a stream to the caller.
 func (c *call) startStream(upstream http.Header) {
 	header := c.w.Header()
@@ -229,45 +226,3 @@
 	}
 	return now.Sub(s.lastSent), true
 }
-
-// event is one server-sent event with its bytes as received.
-type event struct {
-	id  int64
-	raw []byte
-	// hasContent is set if the event has an ID or data, as opposed to a comment that only
-	// keeps the connection open.
-	hasContent bool
-}
-
-// readEvent reads up to and including the next blank line. It returns io.EOF at
-// the end of the stream, and errTruncatedEvent if the stream ends within an event
-// or the event is longer than maxEvent, which is checked only within long lines.
-func readEvent(r *bufio.Reader) (event, error) {
-	var e event
-	for {
-		line, err := r.ReadSlice('\n')
-		e.raw = append(e.raw, line...)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			if len(e.raw) > maxEvent {
-				return e, errTruncatedEvent
-			}
-			continue
-		case errors.Is(err, io.EOF) && len(e.raw) == 0:
-			return e, io.EOF
-		case errors.Is(err, io.EOF):
-			return e, errTruncatedEvent
-		case err != nil:
-			return e, err
-		}
-		field := bytes.TrimRight(line, "\r\n")
-		if len(field) == 0 {
-			return e, nil
-		}
-		e.hasContent = e.hasContent || bytes.HasPrefix(field, []byte("data")) || bytes.HasPrefix(field, []byte("id:"))
-		id, ok := bytes.CutPrefix(field, []byte("id:"))
-		if ok {
-			e.id, _ = strconv.ParseInt(string(bytes.TrimSpace(id)), 10, 64) // invalid IDs become zero, which means none
-		}
-	}
-}
--- a/machine/entry.go
+++ b/machine/entry.go
@@ -45,6 +45,10 @@
 	// The collector of the runtime may need as much again, and the rest of the process the
 	// other half.
 	heldDivisor = 4
+	// incomingDivisor is the part of the memory of the process that heads and events may take
+	// that are being read from upstreams, and upstreamDivisor the part of that for one of them.
+	incomingDivisor = 16
+	upstreamDivisor = 4
 	// sweepInterval is the time between two checks for expired idle connections.
 	sweepInterval = 2 * time.Second
 )
@@ -129,6 +133,10 @@
 		Now:           clock.Boot,
 		Log:           log,
 		Memory:        memory.Account{Bound: cfg.MemoryLimit / heldDivisor},
+		Incoming: memory.Shares{
+			Account: &memory.Account{Bound: cfg.MemoryLimit / incomingDivisor},
+			Bound:   cfg.MemoryLimit / incomingDivisor / upstreamDivisor,
+		},
 	}
 	var err error
 	e.callerListener, err = net.Listen("tcp", string(cfg.CallerAddress))
