Bound the heads of upstreams' responses

Cause: http.ReadResponse was called on the bare connection. It bounds neither a line nor a head; net/http's own clients and servers do that around it.

The body of another response and informational responses in a row were bounded already.

The errors are of their own kind: the end of input would look like a close by the upstream, which may count as a crash. The text of a parser's error, which may quote the head, is cut in the log.

Related paths: chunk sizes, extensions and trailers are bounded by net/http (TestEndlessBodies passes before, too).

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/memory"
 )
 
 const (
@@ -20,6 +21,8 @@
 	// before the response is read. Longer bodies are written concurrently, because
 	// an upstream may respond before it has read them.
 	maxInlineBody = 16 << 10
+	// maxErrorText is the length in bytes to which the text of an error is cut.
+	maxErrorText = 200
 )
 
 // Errors of an exchange. After either of them the request may have run.
@@ -43,6 +46,8 @@
 	Body   []byte
 	// ID is the request ID that the response must carry.
 	ID RequestID
+	// Holding is what is held for the heads that are read; nil if that is not counted.
+	Holding *memory.Holding
 }
 
 // IncomingResponse is a response whose header has been read and whose body has
@@ -59,7 +64,8 @@
 	bodySent chan error
 }
 
-// Send writes a request and reads the header of its response.
+// Send writes a request and reads the header of its response. It returns ErrHeadTooLong or
+// memory.ErrFull if the head passes its bound or that of the holding.
 func (c *Conn) Send(out OutgoingRequest, codec Codec) (*IncomingResponse, error) {
 	err := c.writeHeader(out)
 	if err != nil {
@@ -115,7 +121,7 @@
 // receive reads responses until it has the one to the request.
 func (c *Conn) receive(out OutgoingRequest, codec Codec) (*IncomingResponse, error) {
 	for range maxUnrelatedResponses {
-		response, err := http.ReadResponse(c.r, &http.Request{Method: out.Method})
+		response, err := c.readHead(out)
 		if err != nil {
 			return nil, readError(err)
 		}
@@ -144,6 +150,13 @@
 	return nil, fmt.Errorf("%w: none of %d responses belongs to the request", ErrInvalidResponse, maxUnrelatedResponses)
 }
 
+// readHead reads the head of one response.
+func (c *Conn) readHead(out OutgoingRequest) (*http.Response, error) {
+	c.checked.head = &headBound{holding: out.Holding}
+	defer func() { c.checked.head = nil }()
+	return http.ReadResponse(c.r, &http.Request{Method: out.Method})
+}
+
 // discardUnrelated discards the body of a response to another request. It fails if
 // the connection cannot be read any further.
 func (in *IncomingResponse) discardUnrelated() error {
@@ -154,12 +167,16 @@
 	return err
 }
 
-// readError wraps an error of reading in ErrBroken or ErrInvalidResponse.
+// readError wraps an error of reading in ErrBroken or ErrInvalidResponse. A head beyond its
+// bound is an invalid response, not a broken connection.
 func readError(err error) error {
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, ErrReadCheck) || isNetworkError(err) {
 		return fmt.Errorf("%w: read: %w", ErrBroken, err)
 	}
-	return fmt.Errorf("%w: %w", ErrInvalidResponse, err)
+	if errors.Is(err, ErrHeadTooLong) || errors.Is(err, memory.ErrFull) {
+		return fmt.Errorf("%w: %w", ErrInvalidResponse, err)
+	}
+	return fmt.Errorf("%w: %.*s", ErrInvalidResponse, maxErrorText, err) // may quote the head
 }
 
 // isNetworkError reports whether err comes from the network connection. Such
--- a/exchange/readcheck.go
+++ b/exchange/readcheck.go
@@ -22,17 +22,23 @@
 	c.checked.armDeadline()
 }
 
-// checkedReader reads from a connection, with an optional periodic check.
+// checkedReader reads from a connection, with an optional periodic check and an optional
+// bound on a head.
 type checkedReader struct {
 	raw      net.Conn
 	interval time.Duration
 	check    func() error
+	// head bounds what is read while a head is awaited; nil while none is.
+	head *headBound
 }
 
 // Read reads available data, or waits for data while the check, if any, passes.
 func (r *checkedReader) Read(p []byte) (int, error) {
 	for {
 		n, err := r.raw.Read(p)
+		if boundErr := r.head.add(n); boundErr != nil {
+			return 0, boundErr
+		}
 		if n > 0 || r.check == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -100,8 +100,9 @@
 			Urgency:      c.cfg.UrgencyRank(c.urgency),
 			Ranked:       c.cfg.Services[c.service].Ranked,
 		}),
-		Body: c.body,
-		ID:   c.requestInfo.ID,
+		Body:    c.body,
+		ID:      c.requestInfo.ID,
+		Holding: c.incoming,
 	}
 }
 
--- a/gateway/bound.go
+++ b/gateway/bound.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/foxtailstack/foxtailstack/exchange"
 	"github.com/foxtailstack/foxtailstack/memory"
 	"go.uber.org/zap"
 )
@@ -16,6 +17,8 @@
 const (
 	// boundEvent is the longest event of a stream.
 	boundEvent bound = "event"
+	// boundHead is the longest head of a response.
+	boundHead bound = "head"
 	// boundBody is the longest response that is buffered.
 	boundBody bound = "body"
 	// boundMemory is what may be held for one upstream or for all.
@@ -27,6 +30,8 @@
 	switch {
 	case errors.Is(err, errEventTooLong):
 		return boundEvent
+	case errors.Is(err, exchange.ErrHeadTooLong):
+		return boundHead
 	case errors.Is(err, errTooLong):
 		return boundBody
 	case errors.Is(err, memory.ErrFull):
--- /dev/null
+++ b/gateway/endlessbody_test.go
@@ -0,0 +1,68 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/foxtailstack/foxtailstack/memory"
+	"github.com/foxtailstack/foxtailstack/platform/standin"
+	"github.com/google/go-cmp/cmp"
+)
+
+// endlessBytes returns a worker that sends a head, the start of a body and then a text
+// again and again until the connection is closed.
+func endlessBytes(head, start, text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, buffer, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s: x\r\n%s\r\n%s", standin.RequestOf(r), standin.HeaderProof, head, start)
+		chunk := strings.Repeat(text, 4096/len(text))
+		for err == nil {
+			_, err = io.WriteString(buffer, chunk)
+		}
+	}
+}
+
+// Guards against a part of a body without end that is collected until the process is killed
+// for its memory, and against one upstream that takes the memory of all answers by it.
+func TestEndlessBodies(t *testing.T) {
+	const chunked = "Transfer-Encoding: chunked\r\n"
+	tests := map[string]http.HandlerFunc{
+		"without a length":   endlessBytes("", "", "q"),
+		"size of a chunk":    endlessBytes(chunked, "", "0"),
+		"extension":          endlessBytes(chunked, "4;", "q"),
+		"chunks":             endlessBytes(chunked, "", "4\r\nbody\r\n"),
+		"trailer":            endlessBytes(chunked, "4\r\nbody\r\n0\r\nX-A: ", "q"),
+		"trailers":           endlessBytes(chunked, "4\r\nbody\r\n0\r\n", "X-A: q\r\n"),
+		"a length of 8 EB":   endlessBytes("Content-Length: 8000000000000000000\r\n", "", "q"),
+		"stream of trailers": endlessBytes("Content-Type: text/event-stream\r\n"+chunked, "0\r\n", "X-A: q\r\n"),
+	}
+	want := callerResponse{
+		Status: http.StatusOK,
+		Body:   "answer",
+	}
+	for name, worker := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := &callCounter{}
+			serve := inOrder(c, worker, good)
+			tg := newTestGateway(t, serve, serve)
+			tg.timeout = 4 * time.Second
+			all := &memory.Account{}
+			tg.gateway.Incoming.Account = all
+			if diff := cmp.Diff(want, tg.send(t, http.MethodPost, "/lookup/x")); diff != "" {
+				t.Errorf("response differs (-want +got):\n%.500s", diff)
+			}
+			held := all.Held() + tg.gateway.Memory.Held()
+			if diff := cmp.Diff(0, int(held)); diff != "" {
+				t.Errorf("bytes held at the end (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
