Eject upstreams that fail requests in a row

Cause: an upstream that fails at once looks idle. Its failure rate counts as 12 requests, but an upstream that has never answered keeps as its response time the one first seen of any other.

Why the fix works: after five failures in a row an upstream is used only if there is no other, for 0.4 s and then twice as long with each failure of a request sent after that, up to 6.4 s, until it answers. Requests that fail together, as in a crash, count as one ejection.

--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -79,10 +79,11 @@
 	case Answered:
 		s.observeReturn(&r.Upstream, state, now)
 		state.dialFailures = 0
+		state.outlier.answer()
 		state.recordOutcome(false, report.ResponseTime)
 		q.avgResponseSeconds = averageResponse(q.avgResponseSeconds, report.ResponseTime)
 	case Failed:
-		state.recordOutcome(true, 0)
+		state.recordFailure(r.begunAt, now)
 	case Refused:
 		state.refusedUntil = now.Add(refusedTime)
 	case Unreachable:
--- a/dispatch/upstreamstate.go
+++ b/dispatch/upstreamstate.go
@@ -77,8 +77,8 @@
 	// unreportedQuota).
 	remainder float64
 	// ejectedUntil and refusedUntil are the times until which the upstream is used
-	// only if there is no other: because of failed connections or a new owner of its
-	// address, and because it refused a request.
+	// only if there is no other: because of failed connections, a new owner of its address
+	// or failures in a row, and because it refused a request.
 	ejectedUntil time.Time
 	refusedUntil time.Time
 	// pausedUntil is the time until which the upstream gets no requests because it asked
@@ -95,6 +95,8 @@
 	// dialFailures is the number of failed dials since a request was last
 	// answered.
 	dialFailures int
+	// outlier ejects the upstream if its responses fail one after the other.
+	outlier outlier
 	// failureRate is the exponentially weighted moving average of failures among
 	// requests, from 0 to 1.
 	failureRate float64
@@ -236,6 +238,15 @@
 	}
 }
 
+// recordFailure records that a request failed that was sent at a time.
+func (s *upstreamState) recordFailure(sentAt, now time.Time) {
+	s.recordOutcome(true, 0)
+	until := s.outlier.fail(sentAt, now)
+	if until.After(s.ejectedUntil) {
+		s.ejectedUntil = until
+	}
+}
+
 // averageResponse returns the moving average of response times in seconds, zero if there is
 // none, after a further one. A time of zero is ignored.
 func averageResponse(average float64, next time.Duration) float64 {
