Bound what answers of one upstream take of the memory for callers

One upstream with endless or long bodies could take all of it, and then requests with bodies are refused for want of memory, whatever upstream they are for.

The answers of one upstream may take half of it now. Beyond that they are passed on as they come, as before when the account was full.

Test: TestAnswersOfOneUpstreamLeaveMemory; without the bound of its own the whole account is held for one upstream.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -40,6 +40,8 @@
 	}
 	c.incoming = c.gateway.Incoming.Holding(string(u.Name))
 	defer c.incoming.Release()
+	c.buffered = c.gateway.answerHolding(u.Name)
+	c.earlier = append(c.earlier, c.buffered)
 	stop := context.AfterFunc(ctx, func() { c.abandon(u.Name, conn) })
 	defer stop()
 	c.sentTo[u.Name] = true
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -44,8 +44,11 @@
 	body    []byte
 	// holding is what is held for the request.
 	holding memory.Holding
-	// incoming is what is held for the response of the current attempt before it is passed on.
-	incoming *memory.Holding
+	// incoming is what is held for the head and the current event of the current attempt,
+	// buffered what is held for its response if that is no stream. earlier holds those of
+	// attempts before.
+	incoming, buffered *memory.Holding
+	earlier            []*memory.Holding
 	// callerSlow is set if the caller did not read its response, callerGone if it has
 	// disconnected, which the context of the request need not show yet.
 	callerSlow bool
--- a/gateway/calllog.go
+++ b/gateway/calllog.go
@@ -123,7 +123,7 @@
 		zap.Duration("allowed", allowedGap),
 		zap.Duration("took", time.Since(c.arrived)),
 		zap.Duration("given", c.allowedTime()),
-		zap.Int64("held", int64(c.holding.Peak())),
+		zap.Int64("held", int64(c.heldAtMost())),
 		zap.Uint64("config", config),
 		zap.Duration("age", c.gateway.View.ConfigAge(c.gateway.Now())))
 }
--- a/gateway/endlessbody_test.go
+++ b/gateway/endlessbody_test.go
@@ -66,3 +66,37 @@
 		})
 	}
 }
+
+// Guards against one upstream whose long answers take all memory, so that requests to others
+// are refused for want of it.
+func TestAnswersOfOneUpstreamLeaveMemory(t *testing.T) {
+	const bound = 1 << 20
+	begun := make(chan struct{})
+	release := make(chan struct{})
+	long := func(w http.ResponseWriter, r *http.Request) {
+		standin.Prove(w, r)
+		_, _ = io.WriteString(w, strings.Repeat("q", 2*bound))
+		close(begun)
+		<-release
+	}
+	c := &callCounter{}
+	serve := inOrder(c, long, good)
+	tg := newTestGateway(t, serve, serve)
+	tg.timeout = 4 * time.Second
+	tg.gateway.Memory.Bound = bound
+	tg.gateway.AnswerShare = bound / 2
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		tg.send(t, http.MethodPost, "/lookup/x")
+	}()
+	<-begun
+	if held := tg.gateway.Memory.Held(); held > bound*3/4 {
+		t.Errorf("%d bytes held for one upstream, of %d", held, bound)
+	}
+	if diff := cmp.Diff(http.StatusOK, tg.send(t, http.MethodPost, "/lookup/x").Status); diff != "" {
+		t.Errorf("status of another request (-want +got):\n%s", diff)
+	}
+	close(release)
+	<-ended
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,9 +5,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/dispatch"
 	"github.com/foxtailstack/foxtailstack/exchange"
 	"github.com/foxtailstack/foxtailstack/memory"
@@ -35,7 +37,7 @@
 )
 
 // Gateway is the http.Handler for callers' requests. All exported fields except
-// KeyRevocation, Memory and Incoming must be set before the first request.
+// KeyRevocation and those about memory must be set before the first request.
 type Gateway struct {
 	View        *watch.View
 	Scheduler   *dispatch.Scheduler
@@ -54,6 +56,9 @@
 	Memory memory.Account
 	// Incoming is the account of the heads and events that are being read from each upstream.
 	Incoming memory.Shares
+	// AnswerShare is the maximum number of bytes of Memory that the buffered responses of one
+	// upstream may take; zero means that there is none.
+	AnswerShare foxtailstack.Bytes
 	// KeyRevocation is the time within which a revoked key must stop working. Zero
 	// disables the check of the configuration's age.
 	KeyRevocation time.Duration
@@ -63,6 +68,9 @@
 	Log *zap.Logger
 
 	draining atomic.Bool
+	// answers divides Memory among the upstreams.
+	answers     memory.Shares
+	answersOnce sync.Once
 }
 
 // Drain makes all further responses close their connection, and makes Ready report
@@ -99,7 +107,7 @@
 		requestInfo: g.Codec.DecodeRequest(r.Header),
 		holding:     memory.Holding{Account: &g.Memory},
 	}
-	defer c.holding.Release()
+	defer c.releaseMemory()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -84,16 +84,18 @@
 	if success && isStream(in.Header) {
 		return c.relayStream(ctx, reservation, conn, in)
 	}
-	body, err := c.holding.ReadAll(io.LimitReader(in.Body, maxBufferedBody), contentLength(in.Header))
+	body, err := c.buffered.ReadAll(io.LimitReader(in.Body, maxBufferedBody), contentLength(in.Header))
 	if errors.Is(err, memory.ErrFull) {
 		return c.relayUnbuffered(ctx, reservation, conn, in, body)
 	}
 	if err != nil {
 		conn.Close()
+		c.buffered.Release()
 		return c.failed(ctx, reservation, fmt.Errorf("%w: %w", errBrokenOff, err))
 	}
 	if len(body) == maxBufferedBody {
 		conn.Close()
+		c.buffered.Release()
 		return c.failed(ctx, reservation, errTooLong)
 	}
 	if quarantine.Survived(in.Status) {
--- a/gateway/unbuffered.go
+++ b/gateway/unbuffered.go
@@ -38,6 +38,7 @@
 ) attemptResult {
 	if in.Status >= http.StatusInternalServerError || c.stream.headerSent {
 		conn.Close()
+		c.buffered.Release()
 		return c.failed(ctx, reservation, fmt.Errorf("upstream responded with status %d: %w", in.Status, memory.ErrFull))
 	}
 	unbufferedTotal.Inc()
@@ -51,7 +52,7 @@
 	c.w.WriteHeader(in.Status)
 	c.timeToFirstByte = time.Since(c.arrived)
 	err := c.write(begun)
-	c.holding.Give(cap(begun))
+	c.buffered.Release()
 	if err == nil {
 		err = c.copyBody(in.Body)
 	}
--- a/machine/entry.go
+++ b/machine/entry.go
@@ -49,6 +49,9 @@
 	// that are being read from upstreams, and upstreamDivisor the part of that for one of them.
 	incomingDivisor = 16
 	upstreamDivisor = 4
+	// answerDivisor is the part of what is held for callers that responses of one upstream
+	// may take.
+	answerDivisor = 2
 	// sweepInterval is the time between two checks for expired idle connections.
 	sweepInterval = 2 * time.Second
 )
@@ -133,6 +136,7 @@
 		Now:           clock.Boot,
 		Log:           log,
 		Memory:        memory.Account{Bound: cfg.MemoryLimit / heldDivisor},
+		AnswerShare:   cfg.MemoryLimit / heldDivisor / answerDivisor,
 		Incoming: memory.Shares{
 			Account: &memory.Account{Bound: cfg.MemoryLimit / incomingDivisor},
 			Bound:   cfg.MemoryLimit / incomingDivisor / upstreamDivisor,
