Bound all that a process reads from the store and peers, and tell the collector

Servers of sidecars and of readiness checks took heads of 1 MB. The collector of the runtime did not know the memory of the process: it ran by the growth of the heap alone, also just below the limit.

What passes the bound is a failed call, as callers know it. The runtime's soft limit is 70 in 100 of limits.memoryMb: a quarter is held for callers, a sixteenth each for what comes from upstreams and in replies, and what is above is for the program and the C library.

--- a/command/machine.go
+++ b/command/machine.go
@@ -27,6 +27,10 @@
 	// collector runs. Processes here are small and many, so memory counts more
 	// than the time of the collector.
 	collectAt = 25
+	// softLimitPercent is the part of the memory of the process near which the collector runs
+	// as often as it has to. The rest is for what is not the runtime's: the program itself
+	// and the C library.
+	softLimitPercent = 70
 )
 
 // newMachine returns the command that runs a process on a machine of the platform.
@@ -103,6 +107,9 @@
 	metrics.GetOrCreateGauge("foxtailstack_log_dropped_lines", func() float64 { return float64(lines.Dropped()) })
 	log = log.With(zap.String("instance", string(cfg.Name)))
 	debug.SetGCPercent(collectAt)
+	if cfg.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(cfg.MemoryLimit) * softLimitPercent / 100)
+	}
 	err = run(ctx, log)
 	if err != nil && !errors.Is(err, context.Canceled) {
 		log.Error("process failed", zap.Error(err))
--- a/machine/entry.go
+++ b/machine/entry.go
@@ -38,7 +38,7 @@
 	// idleTimeout is how long a connection without a request is kept open. The limit of
 	// the configuration, route.Limits.IdleTimeout, is not enforced at present.
 	idleTimeout = time.Minute
-	// maxHeaderBytes is the limit that net/http sets on the size of a request's header.
+	// maxHeaderBytes is the limit that net/http sets on the size of a head that it reads.
 	// The limit of the configuration, route.Limits.Header, is not enforced at present.
 	maxHeaderBytes = 32 << 10
 	// heldDivisor is the part of the memory of the process that may be held for callers.
@@ -49,6 +49,9 @@
 	// that are being read from upstreams, and upstreamDivisor the part of that for one of them.
 	incomingDivisor = 16
 	upstreamDivisor = 4
+	// replyDivisor is the part of the memory of a process that responses of the store, of
+	// ranks and of sidecars may take while they are read.
+	replyDivisor = 16
 	// answerDivisor is the part of what is held for callers that responses of one upstream
 	// may take.
 	answerDivisor = 2
@@ -58,9 +61,11 @@
 
 // Entry is the process that receives callers' requests and sends them to upstreams.
 type Entry struct {
-	settings          platform.Settings
-	log               *zap.Logger
-	store             *platform.Store
+	settings platform.Settings
+	log      *zap.Logger
+	store    *platform.Store
+	// replies counts what is read of responses of the store and of sidecars.
+	replies           *memory.Account
 	view              *watch.View
 	scheduler         *dispatch.Scheduler
 	pool              *exchange.Pool
@@ -80,8 +85,10 @@
 		settings: cfg,
 		log:      log,
 		store:    platform.NewStore(cfg.StoreURL),
+		replies:  &memory.Account{Bound: cfg.MemoryLimit / replyDivisor},
 		pool:     &exchange.Pool{},
 	}
+	e.store.CountIn(e.replies)
 	e.view = newView(cfg, log)
 	e.scheduler = &dispatch.Scheduler{
 		Fleet:    e.view.Fleet,
@@ -90,7 +97,7 @@
 		Log:      log,
 	}
 	e.fallback = &fallback.Client{
-		HTTP:     newPeerClient(),
+		HTTP:     newPeerClient(e.replies),
 		Sidecars: e.groupSidecars,
 		Log:      log,
 	}
@@ -184,6 +191,7 @@
 	statusServer := &http.Server{
 		Handler:           e.statusHandler(),
 		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       idleTimeout,
 	}
 	go func() { _ = statusServer.Serve(e.readinessListener) }()
@@ -267,6 +275,8 @@
 	metrics.GetOrCreateGauge("foxtailstack_fleet_upstreams", func() float64 { return float64(e.view.Fleet().Len()) })
 	metrics.GetOrCreateGauge("foxtailstack_gateway_connections_made", func() float64 { return float64(e.pool.Dials()) })
 	metrics.GetOrCreateGauge("foxtailstack_gateway_bytes_held", func() float64 { return float64(e.gateway.Memory.Held()) })
+	metrics.GetOrCreateGauge("foxtailstack_gateway_bytes_incoming", func() float64 { return float64(e.gateway.Incoming.Account.Held()) })
+	metrics.GetOrCreateGauge("foxtailstack_gateway_bytes_replies", func() float64 { return float64(e.replies.Held()) })
 	return mux
 }
 
--- a/machine/follow.go
+++ b/machine/follow.go
@@ -104,7 +104,7 @@
 // done. It finds new services within groupCheckInterval. A Watcher runs until ctx is
 // done, also if its group is removed from the configuration.
 func (e *Entry) watchGroups(ctx context.Context) {
-	client := newPeerClient()
+	client := newPeerClient(e.replies)
 	watched := make(map[foxtailstack.ServiceName]bool)
 	for clock.Sleep(ctx, groupCheckInterval) == nil {
 		cfg := e.view.Config()
--- a/machine/members_test.go
+++ b/machine/members_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/group"
+	"github.com/foxtailstack/foxtailstack/memory"
 	"github.com/foxtailstack/foxtailstack/platform"
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
@@ -20,7 +21,7 @@
 	s := &Sidecar{
 		settings: cfg,
 		view:     newView(cfg, zap.NewNop()),
-		client:   newPeerClient(),
+		client:   newPeerClient(&memory.Account{}),
 		group:    &group.Sidecar{},
 	}
 	want := []foxtailstack.Address{"10.0.0.1:80", "10.0.0.2:80"}
--- a/machine/sidecar.go
+++ b/machine/sidecar.go
@@ -17,6 +17,7 @@
 	"github.com/foxtailstack/foxtailstack/fallback"
 	"github.com/foxtailstack/foxtailstack/group"
 	"github.com/foxtailstack/foxtailstack/internal/clock"
+	"github.com/foxtailstack/foxtailstack/memory"
 	"github.com/foxtailstack/foxtailstack/platform"
 	"github.com/foxtailstack/foxtailstack/route"
 	"github.com/foxtailstack/foxtailstack/watch"
@@ -35,10 +36,12 @@
 // Sidecar is the process beside an upstream. It executes orders for the upstream's rank
 // and is a candidate for planner of the rank's group.
 type Sidecar struct {
-	settings        platform.Settings
-	log             *zap.Logger
-	store           *platform.Store
-	view            *watch.View
+	settings platform.Settings
+	log      *zap.Logger
+	store    *platform.Store
+	view     *watch.View
+	// replies counts what is read of responses of the store, of ranks and of sidecars.
+	replies         *memory.Account
 	client          *http.Client
 	rank            *platform.Rank
 	group           *group.Sidecar
@@ -58,8 +61,10 @@
 		log:      log,
 		store:    platform.NewStore(cfg.StoreURL),
 		view:     newView(cfg, log),
-		client:   newPeerClient(),
+		replies:  &memory.Account{Bound: cfg.MemoryLimit / replyDivisor},
 	}
+	s.store.CountIn(s.replies)
+	s.client = newPeerClient(s.replies)
 	s.rank = platform.NewRank(s.client, cfg.UpstreamAddress)
 	s.group = &group.Sidecar{
 		Rank:   s.rank,
@@ -93,6 +98,7 @@
 	server := &http.Server{
 		Handler:           peers,
 		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 		// Longer than peerIdleTimeout, so that the client closes idle connections first.
 		IdleTimeout: 2 * peerIdleTimeout,
 	}
@@ -101,6 +107,7 @@
 	metricsServer := &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       idleTimeout,
 	}
 	go func() { _ = metricsServer.Serve(s.metricsListener) }()
@@ -245,13 +252,18 @@
 	return foxtailstack.Address(net.JoinHostPort(host, strconv.Itoa(port))), true
 }
 
-// newPeerClient returns the HTTP client for messages to sidecars and ranks.
-func newPeerClient() *http.Client {
+// newPeerClient returns the HTTP client for messages to sidecars and ranks. What it reads of
+// responses is taken from an account.
+func newPeerClient(account *memory.Account) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
-			MaxIdleConnsPerHost: 2,
-			IdleConnTimeout:     peerIdleTimeout,
+		Transport: &memory.Transport{
+			Base: &http.Transport{
+				DialContext:            (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+				MaxIdleConnsPerHost:    2,
+				IdleConnTimeout:        peerIdleTimeout,
+				MaxResponseHeaderBytes: maxHeaderBytes,
+			},
+			Account: account,
 		},
 	}
 }
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -34,6 +34,8 @@
 	controlTimeout = 5 * time.Second
 	// maxReportSize is the maximum size in bytes of the response to such a request.
 	maxReportSize = 1 << 20
+	// maxResponseHeaderBytes is the number of bytes that are read of the head of a response.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // HTTPEngine is a foxtailstack.Engine that speaks HTTP. Responses are either complete
@@ -48,8 +50,9 @@
 	return &HTTPEngine{
 		client: &http.Client{
 			Transport: &http.Transport{
-				MaxIdleConnsPerHost: maxIdleConns,
-				DisableCompression:  true,
+				MaxIdleConnsPerHost:    maxIdleConns,
+				DisableCompression:     true,
+				MaxResponseHeaderBytes: maxResponseHeaderBytes,
 			},
 			// Redirects are not followed: a failed connection to the new address would
 			// be taken for a refusal, although the engine has seen the call.
