Resume streams only where the next upstream goes on after the last event

What callers saw (reported by other operators, reproduced here on real sockets): a stream that had broken off ended as complete after 4 of 10 events, or went on with a gap or another run. To callers of HTTP/1.0 every cut stream looked complete.

Cause: on a resumed stream only status class and proof of origin were checked. A 200 without an event, a 204, a comment or old events only ended the stream as complete; events 6 to 10 after 4, events without IDs and a 206 were joined. A stream whose events have no IDs was sent again from its start. The text of an error was not passed on, before nor now. The status of a stream was always 200.

Why the fix works: the first event that a further upstream adds must follow the last one, there must be one, and the status must be 200; otherwise that upstream has failed and the stream may go to the next or is cut. A stream with an event without ID is not sent again. The connection of a caller of HTTP/1.0 is reset where its response is cut.

--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -25,16 +25,13 @@
 	switch {
 	case c.callerSlow:
 		slowCallersTotal.Inc()
-		c.finish(0, reasonCallerSlow)
-		panic(http.ErrAbortHandler) // closes the connection
+		c.abort(reasonCallerSlow)
 	case c.callerGone || c.r.Context().Err() != nil:
 		gap, _ := c.stream.sinceLastEvent(time.Now())
 		c.stream.longestGap = max(c.stream.longestGap, gap) // the gap may be why the caller disconnected
-		c.finish(0, reasonCallerDisconnected)
-		panic(http.ErrAbortHandler) // closes the connection: a caller may have ended only its own side
+		c.abort(reasonCallerDisconnected)                   // the caller may have ended only its own side
 	case c.stream.headerSent:
-		c.finish(0, reasonStreamBroken)
-		panic(http.ErrAbortHandler) // closes the connection, so that the caller sees a truncated response
+		c.abort(reasonStreamBroken)
 	case c.lastFailure != nil:
 		c.lastFailure.write(c)
 		c.finish(c.lastFailure.status, reasonUpstreamFailure)
@@ -59,6 +56,14 @@
 	}
 }
 
+// abort ends the request and closes the connection, so that the caller sees a truncated
+// response. It does not return.
+func (c *call) abort(reason endReason) {
+	c.finish(0, reason)
+	c.resetUnframed()
+	panic(http.ErrAbortHandler)
+}
+
 // respondRefused responds to a request that the quarantine refused.
 func (c *call) respondRefused(refused *quarantine.RefusedError) {
 	c.gateway.Log.Info("request refused after crashes",
--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -72,9 +72,10 @@
 // checkLeave returns the fault for which the stream must leave its rank, or nil.
 // Before it returns a fault, it takes the next attempt from the retry budget; if
 // the budget grants none, the stream stays. The result is also nil if the caller
-// has disconnected or the attempts that the route allows are used up.
+// has disconnected, the stream cannot be resumed or the attempts that the route allows are
+// used up.
 func (c *call) checkLeave() error {
-	if c.r.Context().Err() != nil || len(c.sentTo) >= c.route.MaxAttempts {
+	if c.r.Context().Err() != nil || c.stream.unnumbered || len(c.sentTo) >= c.route.MaxAttempts {
 		return nil
 	}
 	fault := c.rankFault()
--- a/gateway/presence.go
+++ b/gateway/presence.go
@@ -36,6 +36,18 @@
 	return err == nil && left
 }
 
+// resetUnframed lets the end of the caller's connection be a reset if the response has neither
+// a length nor chunks, as for callers of HTTP/1.0: a plain end would make it look complete.
+func (c *call) resetUnframed() {
+	if c.r.ProtoAtLeast(1, 1) {
+		return
+	}
+	conn, ok := c.r.Context().Value(callerConnKey{}).(*net.TCPConn)
+	if ok {
+		_ = conn.SetLinger(0) // fails only if the connection is closed already
+	}
+}
+
 // ended reports whether the other end of a socket has closed or reset it and no data are left
 // to read.
 func ended(fd int) bool {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -52,17 +52,6 @@
 	_ = c.write(b.body) // the caller may have disconnected
 }
 
-// streamState is the state of the stream that is sent to the caller.
-type streamState struct {
-	headerSent bool
-	// lastEventID is the ID of the last event sent.
-	lastEventID int64
-	// lastSent is when the last event was sent, longestGap the longest gap between two
-	// events.
-	lastSent   time.Time
-	longestGap time.Duration
-}
-
 // relay relays the response of an upstream that may have run the request. It
 // buffers responses that are not streams, so that a truncated one can be retried.
 func (c *call) relay(
@@ -135,13 +124,25 @@
 	conn *exchange.Conn,
 	in *exchange.IncomingResponse,
 ) attemptResult {
+	resumed := c.stream.begun()
+	if resumed && in.Status != http.StatusOK {
+		conn.Close()
+		return c.failed(ctx, reservation, fmt.Errorf("%w: status %d", errNotResumed, in.Status))
+	}
 	reservation.ResponseStarted()
 	reader := newEventReader(in.Body, c.incoming)
+	lastEventID := c.stream.lastEventID
 	for {
 		event, err := reader.next()
+		if errors.Is(err, io.EOF) && resumed && c.stream.lastEventID == lastEventID {
+			err = errNotResumed // it cannot be told from a stream that is not whole
+		}
 		if errors.Is(err, io.EOF) {
 			break
 		}
+		if err == nil && resumed && c.stream.lastEventID == lastEventID {
+			err = c.stream.checkResumed(event)
+		}
 		if err != nil {
 			conn.Close()
 			return c.failed(ctx, reservation, brokenOff(err))
@@ -149,7 +150,7 @@
 		if event.hasContent {
 			c.recordBegun()
 		}
-		if !c.sendEvent(event, in.Header) {
+		if !c.sendEvent(event, in) {
 			conn.Close()
 			reservation.Release(dispatch.Report{}) // inconclusive
 			return resultGiveUp
@@ -159,7 +160,7 @@
 	c.gateway.Quarantine.Served(c.subject)
 	reservation.Release(dispatch.Report{Outcome: dispatch.Answered})
 	if !c.stream.headerSent {
-		c.startStream(in.Header)
+		c.startStream(in)
 	}
 	c.finish(in.Status, reasonServed)
 	return resultServed
@@ -175,21 +176,21 @@
 }
 
 // startStream sends the header of a stream to the caller.
-func (c *call) startStream(upstream http.Header) {
+func (c *call) startStream(in *exchange.IncomingResponse) {
 	header := c.w.Header()
-	for name, values := range c.gateway.Codec.ResponseHeader(upstream) {
+	for name, values := range c.gateway.Codec.ResponseHeader(in.Header) {
 		header[name] = values
 	}
-	c.w.WriteHeader(http.StatusOK)
+	c.w.WriteHeader(in.Status)
 	c.stream.headerSent = true
 	c.timeToFirstByte = time.Since(c.arrived)
 }
 
 // sendEvent sends an event to the caller unless it has been sent already. It
 // reports whether the caller is still connected.
-func (c *call) sendEvent(e event, upstream http.Header) bool {
+func (c *call) sendEvent(e event, in *exchange.IncomingResponse) bool {
 	if !c.stream.headerSent {
-		c.startStream(upstream)
+		c.startStream(in)
 	}
 	if e.id > 0 && e.id <= c.stream.lastEventID {
 		return true
@@ -209,22 +210,3 @@
 	}
 	return err == nil
 }
-
-// recordEvent records that an event was sent. It returns the gap since the
-// previous event, and false if there was none.
-func (s *streamState) recordEvent(id int64, now time.Time) (time.Duration, bool) {
-	s.lastEventID = max(id, s.lastEventID)
-	gap, ok := s.sinceLastEvent(now)
-	s.longestGap = max(s.longestGap, gap)
-	s.lastSent = now
-	return gap, ok
-}
-
-// sinceLastEvent returns the time since the last event, and false if there was
-// none.
-func (s *streamState) sinceLastEvent(now time.Time) (time.Duration, bool) {
-	if s.lastSent.IsZero() {
-		return 0, false
-	}
-	return now.Sub(s.lastSent), true
-}
