Refuse in a planned stop what cannot be done before its end

What callers saw (reported by other operators, reproduced here): requests that came late in the grace period of a planned stop, in calm, were passed on and cut at its end without an answer, those that may run once at most among them (LOST).

Cause: the end was known to the server alone. Nothing looked at the time that was left: a request waited for a place or went to an upstream, and Server.Close ended it.

Why the fix works: the gateway knows the end. What is not expected to be done by then is refused before it is sent, truthfully and with a Retry-After that another entry can meet; the time that a route takes is measured, and estimated for groups as before. What is left at the end gets its answer then, 0.15 s before connections are cut: 503 if it was not sent, 502 if it may have run. Such attempts count neither as failures nor as crashes of their upstreams.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -135,6 +135,10 @@
 // full.
 func (c *call) failed(ctx context.Context, reservation *dispatch.Reservation, err error) attemptResult {
 	c.mayHaveRun[reservation.Upstream.Name] = true
+	if isStopping(ctx) {
+		reservation.Release(dispatch.Report{}) // inconclusive
+		return resultGiveUp
+	}
 	c.checkCrash(ctx, reservation.Upstream, err)
 	if c.r.Context().Err() != nil {
 		reservation.Release(dispatch.Report{}) // inconclusive
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"os"
@@ -27,6 +28,8 @@
 	}
 	control := http.NewResponseController(c.w)
 	_ = control.SetReadDeadline(c.arrived.Add(c.timeout())) // not every test's writer has deadlines
+	stop := context.AfterFunc(c.gateway.stopping(), func() { _ = control.SetReadDeadline(time.Now()) })
+	defer stop()
 	body, err := c.holding.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength)
 	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
@@ -54,6 +57,10 @@
 		c.respondUnavailable(reasonMemory, spreadBefore(retryAfterMemory))
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.w.Header().Set("Connection", "close")
+		if c.gateway.stopping().Err() != nil {
+			c.respondUnavailable(reasonStopping, retryAfterElsewhere)
+			return
+		}
 		c.respondUnavailable(reasonTimeout, retryAfterQueue)
 	default:
 		c.respondError(http.StatusBadRequest, reasonBody)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -126,11 +126,23 @@
 	c.deadline = c.arrived.Add(timeout)
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline.Add(responseGrace))
 	defer cancel()
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	defer cancelCause(nil)
+	defer context.AfterFunc(c.gateway.stopping(), func() { cancelCause(errStopping) })()
 	for {
+		if !c.fitsBeforeStop() {
+			c.giveUp(ctx, errStopping)
+			return
+		}
 		reservation, admission, err := c.reserve(ctx)
 		if c.outlastsPause(ctx, err) {
 			continue
 		}
+		if err == nil && !c.fitsBeforeStop() {
+			admission.Release()
+			reservation.Release(dispatch.Report{}) // inconclusive
+			err = errStopping
+		}
 		if err != nil {
 			c.giveUp(ctx, err)
 			return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -67,25 +68,26 @@
 	Now func() time.Duration
 	Log *zap.Logger
 
-	draining atomic.Bool
+	// stop is the planned stop; nil if there is none. ending is done when the last answers
+	// are due; end ends it.
+	stop    atomic.Pointer[plannedStop]
+	endOnce sync.Once
+	ending  context.Context
+	end     context.CancelFunc
+	// serviceTimes says how long requests take.
+	serviceTimes serviceTimes
 	// answers divides Memory among the upstreams.
 	answers     memory.Shares
 	answersOnce sync.Once
 }
 
-// Drain makes all further responses close their connection, and makes Ready report
-// false.
-func (g *Gateway) Drain() {
-	g.draining.Store(true)
-}
-
 // Ready reports whether callers should send requests to this entry: configuration
 // and fleet are known, the gateway is not draining, and, if keys are required, the
 // configuration is younger than readyFraction of KeyRevocation. The gateway accepts
 // keys for longer than that, see keysCurrent.
 func (g *Gateway) Ready() bool {
 	cfg := g.View.Config()
-	if cfg == nil || g.View.Fleet() == nil || g.draining.Load() {
+	if cfg == nil || g.View.Fleet() == nil || g.draining() {
 		return false
 	}
 	return !cfg.KeyRequired || g.KeyRevocation == 0 || float64(g.View.ConfigAge(g.Now())) < readyFraction*float64(g.KeyRevocation)
@@ -108,7 +110,7 @@
 		holding:     memory.Holding{Account: &g.Memory},
 	}
 	defer c.releaseMemory()
-	if g.draining.Load() {
+	if g.draining() {
 		w.Header().Set("Connection", "close")
 	}
 	if !c.admit() {
@@ -187,6 +189,7 @@
 	reasonMemory             endReason = "memory"
 	reasonQuarantined        endReason = "quarantined"
 	reasonEqualRuns          endReason = "equal-request-runs"
+	reasonStopping           endReason = "entry-stops"
 )
 
 // Values of the Retry-After header.
--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -35,6 +35,10 @@
 	case c.lastFailure != nil:
 		c.lastFailure.write(c)
 		c.finish(c.lastFailure.status, reasonUpstreamFailure)
+	case len(c.mayHaveRun) > 0 && (isStopping(ctx) || errors.Is(err, errStopping)):
+		c.respondError(http.StatusBadGateway, reasonStopping)
+	case isStopping(ctx), errors.Is(err, errStopping):
+		c.respondUnavailable(reasonStopping, retryAfterElsewhere)
 	case len(c.mayHaveRun) > 0 && ctx.Err() != nil:
 		c.respondError(http.StatusGatewayTimeout, reasonTimeout)
 	case len(c.mayHaveRun) > 0:
--- a/gateway/keys_test.go
+++ b/gateway/keys_test.go
@@ -97,7 +97,7 @@
 // that it is not ready.
 func TestDrain(t *testing.T) {
 	tg := newTestGateway(t, good)
-	tg.gateway.Drain()
+	tg.gateway.Drain(time.Now().Add(time.Minute))
 	response, err := http.DefaultClient.Do(func() *http.Request {
 		r, _ := http.NewRequest(http.MethodPost, tg.server.URL+"/lookup/x", nil)
 		r.Host = standin.ConfigHost
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -71,7 +71,7 @@
 		return c.failed(ctx, reservation, fmt.Errorf("%w: status %d", errFalseRefusal, in.Status))
 	}
 	if success && isStream(in.Header) {
-		return c.relayStream(ctx, reservation, conn, in)
+		return c.relayStream(ctx, reservation, conn, in, began)
 	}
 	body, err := c.buffered.ReadAll(io.LimitReader(in.Body, maxBufferedBody), contentLength(in.Header))
 	if errors.Is(err, memory.ErrFull) {
@@ -102,6 +102,9 @@
 			ResponseTime: time.Since(began),
 		})
 		c.timeToFirstByte = time.Since(c.arrived)
+		if success {
+			c.gateway.serviceTimes.observe(c.route.Name, time.Since(began))
+		}
 		response.write(c)
 		c.finish(in.Status, reasonServed)
 		return resultServed
@@ -123,6 +126,7 @@
 	reservation *dispatch.Reservation,
 	conn *exchange.Conn,
 	in *exchange.IncomingResponse,
+	began time.Time,
 ) attemptResult {
 	resumed := c.stream.begun()
 	if resumed && in.Status != http.StatusOK {
@@ -162,6 +166,9 @@
 	if !c.stream.headerSent {
 		c.startStream(in)
 	}
+	if !resumed {
+		c.gateway.serviceTimes.observe(c.route.Name, time.Since(began))
+	}
 	c.finish(in.Status, reasonServed)
 	return resultServed
 }
--- a/machine/crash_test.go
+++ b/machine/crash_test.go
@@ -79,6 +79,12 @@
 
 // newCrashSystem starts the workers of a service and the entries.
 func newCrashSystem(t *testing.T, service string, mode standin.CrashMode) *crashSystem {
+	t.Helper()
+	return newWorkingSystem(t, service, mode, crashWork)
+}
+
+// newWorkingSystem is like newCrashSystem, with workers that take a time for a request.
+func newWorkingSystem(t *testing.T, service string, mode standin.CrashMode, work time.Duration) *crashSystem {
 	t.Helper()
 	s := newStore(t)
 	for i := range crashWorkers {
@@ -87,7 +93,7 @@
 			Service:  service,
 			Mode:     mode,
 			Downtime: crashDowntime,
-			Work:     crashWork,
+			Work:     work,
 			Store:    &s.store.Rows,
 			Log:      s.log,
 		}
--- a/machine/entry.go
+++ b/machine/entry.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"os"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -29,9 +28,11 @@
 	// request to stop, so that the platform can see that it is not ready and stop sending
 	// callers. The time is half the grace period if that is shorter.
 	drainDelay = 3 * time.Second
-	// stopMargin is the time between cutting off the remaining requests and the end of
-	// the grace period, when the platform kills the process.
-	stopMargin = 300 * time.Millisecond
+	// stopMargin is the time between the last answers to the remaining requests and the end
+	// of the grace period, when the platform kills the process. closeMargin is the part of it
+	// that is left when connections are cut off.
+	stopMargin  = 300 * time.Millisecond
+	closeMargin = 150 * time.Millisecond
 	// headerTimeout bounds the time to read a request's header. The limit of the
 	// configuration, route.Limits.HeaderTimeout, is not enforced at present.
 	headerTimeout = 10 * time.Second
@@ -75,7 +76,6 @@
 	gateway           *gateway.Gateway
 	callerListener    net.Listener
 	readinessListener net.Listener
-	draining          atomic.Bool
 }
 
 // NewEntry returns an Entry that listens on the addresses of cfg for callers and for
@@ -211,19 +211,19 @@
 	case <-ctx.Done():
 	}
 	err := e.shutDown(server)
-	_ = statusServer.Close() // the process ends; an error has no effect
+	_ = stopServer(statusServer) // the process ends; an error has no effect
 	return err
 }
 
 // shutDown reports not ready, accepts connections for up to drainDelay and then waits
-// for the requests in progress until shortly before the end of the grace period.
+// for the requests in progress until shortly before the end of the grace period. What cannot
+// be done until then is refused or answered before (see gateway.Gateway.Drain).
 func (e *Entry) shutDown(server *http.Server) error {
 	e.log.Info("entry stopping")
-	deadline := time.Now().Add(e.settings.Bounds.GracePeriod - stopMargin)
-	e.draining.Store(true)
-	e.gateway.Drain()
+	end := time.Now().Add(e.settings.Bounds.GracePeriod)
+	e.gateway.Drain(end.Add(-stopMargin))
 	time.Sleep(min(drainDelay, e.settings.Bounds.GracePeriod/2))
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-closeMargin))
 	defer cancel()
 	err := server.Shutdown(ctx)
 	if err != nil {
@@ -253,7 +253,7 @@
 func (e *Entry) statusHandler() http.Handler {
 	mux := flow.New()
 	mux.HandleFunc(platform.PathReady, func(w http.ResponseWriter, _ *http.Request) {
-		if e.draining.Load() || !e.gateway.Ready() {
+		if !e.gateway.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
--- a/machine/sidecar.go
+++ b/machine/sidecar.go
@@ -129,7 +129,7 @@
 	case err := <-serveErr:
 		return fmt.Errorf("serve other sidecars: %w", err)
 	default:
-		return errors.Join(server.Close(), metricsServer.Close())
+		return errors.Join(stopServer(server), stopServer(metricsServer))
 	}
 }
 
--- a/machine/stop_test.go
+++ b/machine/stop_test.go
@@ -89,3 +89,70 @@
 		time.Sleep(stopPause)
 	}
 }
+
+// Guards against requests that come late in a planned stop, which are passed on and cut at its
+// end without an answer, those that may run once at most among them.
+func TestPlannedStopAnswersLateRequests(t *testing.T) {
+	const (
+		callers  = 50
+		headsAt  = 250 * time.Millisecond // while the entry accepts connections
+		interval = 9 * time.Millisecond   // the last body comes once the entry is gone
+		work     = 150 * time.Millisecond
+	)
+	t.Parallel()
+	s := newWorkingSystem(t, "drafts", standin.CrashMode{}, work)
+	address := s.entries[0].callerListener.Addr().String()
+	s.send(0, "before", "/booking/x", "question") // teaches the entry how long a request takes
+	stopped := make(chan struct{})
+	go func() {
+		s.stops[0]()
+		close(stopped)
+	}()
+	time.Sleep(headsAt)
+	var conns []net.Conn
+	for n := range callers {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal("dial the entry:", err)
+		}
+		defer conn.Close()
+		_, _ = fmt.Fprintf(conn, "POST /booking/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: late-%d\r\n%s: %s\r\nContent-Length: 1\r\n\r\n",
+			standin.ConfigHost, n, standin.HeaderKey, standin.ConfigKey)
+		conns = append(conns, conn)
+	}
+	var wg sync.WaitGroup
+	var whole, refused atomic.Int64
+	for n, conn := range conns {
+		time.Sleep(interval)
+		wg.Go(func() {
+			_, _ = io.WriteString(conn, "x")
+			switch status, err := readAnswer(conn); {
+			case err != nil && s.log.Reached(fmt.Sprintf("late-%d", n)):
+				t.Errorf("request %d was passed on and got no whole answer: %v", n, err)
+			case err != nil: // it crossed the end
+			case status == http.StatusOK:
+				whole.Add(1)
+			case status == http.StatusServiceUnavailable:
+				refused.Add(1)
+			default:
+				t.Errorf("request %d got status %d", n, status)
+			}
+		})
+	}
+	wg.Wait()
+	<-stopped
+	t.Logf("%d served, %d refused", whole.Load(), refused.Load())
+	if whole.Load() == 0 {
+		t.Error("no request was served")
+	}
+}
+
+// readAnswer reads one answer and returns its status.
+func readAnswer(conn net.Conn) (int, error) {
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
