Give each connection to an upstream one owner at a time

Cause: an attempt registered a function that aborts its connection when the request's time is over or its caller leaves, and took it back only when it returned. The connection was in the pool before a buffered answer was written. While that write waited for a slow reader, the connection carried another request, which the function cut.

Why the fix works: exchange.Lease is the ownership of a connection. It ends once, and its end stops the function before the connection goes to the pool; if the function has begun, the connection does not go there.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -42,8 +42,8 @@
 	defer c.incoming.Release()
 	c.buffered = c.gateway.answerHolding(u.Name)
 	c.earlier = append(c.earlier, c.buffered)
-	stop := context.AfterFunc(ctx, func() { c.abandon(u.Name, conn) })
-	defer stop()
+	lease := c.gateway.Pool.Lease(ctx, u.Name, conn, func(reset bool) { c.logAbandoned(u.Name, reset) })
+	defer lease.Close()
 	c.sentTo[u.Name] = true
 	c.conns = append(c.conns, conn)
 	c.sendCount++
@@ -54,10 +54,10 @@
 	c.answer = quarantine.Waiting
 	c.trial = admission.Trial
 	c.logTrial()
-	c.setLeaveCheck(conn)
-	in, err := conn.Send(c.outgoing(u), c.gateway.Codec)
+	c.setLeaveCheck(lease)
+	in, err := lease.Send(c.outgoing(u), c.gateway.Codec)
 	if err != nil {
-		_ = conn.Abort()
+		lease.Abort()
 		return c.failed(ctx, reservation, err)
 	}
 	c.gateway.Scheduler.ObserveLoad(u.Name, in.Load)
@@ -70,17 +70,16 @@
 		c.gateway.View.MarkLeaving(u)
 	}
 	if in.NotRun {
-		return c.notRun(reservation, conn, in)
+		return c.notRun(reservation, lease, in)
 	}
 	c.mayHaveRun[u.Name] = true
 	c.answer = quarantine.Started
-	return c.relay(ctx, reservation, conn, in, began)
+	return c.relay(ctx, reservation, lease, in, began)
 }
 
-// abandon ends the connection to an upstream because the caller has left or the time of the
-// request is over. It may be called concurrently with the attempt.
-func (c *call) abandon(upstream foxtailstack.UpstreamName, conn *exchange.Conn) {
-	reset := conn.Abort()
+// logAbandoned logs that the connection to an upstream was ended because the caller has left
+// or the time of the request is over. It may be called concurrently with the attempt.
+func (c *call) logAbandoned(upstream foxtailstack.UpstreamName, reset bool) {
 	c.gateway.Log.Info("attempt abandoned",
 		zap.String("request", string(c.requestInfo.ID)),
 		zap.String("upstream", string(upstream)),
@@ -164,12 +163,12 @@
 }
 
 // notRun ends an attempt that the upstream refused without running it.
-func (c *call) notRun(reservation *dispatch.Reservation, conn *exchange.Conn, in *exchange.IncomingResponse) attemptResult {
+func (c *call) notRun(reservation *dispatch.Reservation, lease *exchange.Lease, in *exchange.IncomingResponse) attemptResult {
 	err := in.Discard()
 	if err != nil {
-		conn.Close()
+		lease.Close()
 	} else {
-		in.Finish(c.gateway.Pool, reservation.Upstream.Name, conn)
+		lease.Finish(in)
 	}
 	outcome := dispatch.Refused
 	switch {
--- a/gateway/leave.go
+++ b/gateway/leave.go
@@ -59,14 +59,14 @@
 	errSlowRank = errors.New("rank is slow and holds up its group")
 )
 
-// setLeaveCheck sets a read check on conn, by which a resumable stream leaves a
+// setLeaveCheck sets a read check on a connection, by which a resumable stream leaves a
 // rank that stalls or is slow.
-func (c *call) setLeaveCheck(conn *exchange.Conn) {
+func (c *call) setLeaveCheck(lease *exchange.Lease) {
 	if c.route.Kind != route.Stream || !c.route.Idempotent() || !c.grouped() {
 		return
 	}
 	c.recordProgress(false)
-	conn.SetReadCheck(stallCheckInterval, c.checkLeave)
+	lease.SetReadCheck(stallCheckInterval, c.checkLeave)
 }
 
 // checkLeave returns the fault for which the stream must leave its rank, or nil.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -57,40 +57,40 @@
 func (c *call) relay(
 	ctx context.Context,
 	reservation *dispatch.Reservation,
-	conn *exchange.Conn,
+	lease *exchange.Lease,
 	in *exchange.IncomingResponse,
 	began time.Time,
 ) attemptResult {
 	success := in.Status/100 == 2
 	if success && (!in.OriginProven || in.ContentEncoded) {
-		conn.Close()
+		lease.Close()
 		return c.failed(ctx, reservation, errUnproven)
 	}
 	if refuses(in.Status) && !c.route.Idempotent() {
-		conn.Close()
+		lease.Close()
 		return c.failed(ctx, reservation, fmt.Errorf("%w: status %d", errFalseRefusal, in.Status))
 	}
 	if success && isStream(in.Header) {
-		return c.relayStream(ctx, reservation, conn, in, began)
+		return c.relayStream(ctx, reservation, lease, in, began)
 	}
 	body, err := c.buffered.ReadAll(io.LimitReader(in.Body, maxBufferedBody), contentLength(in.Header))
 	if errors.Is(err, memory.ErrFull) {
-		return c.relayUnbuffered(ctx, reservation, conn, in, body)
+		return c.relayUnbuffered(ctx, reservation, lease, in, body)
 	}
 	if err != nil {
-		conn.Close()
+		lease.Close()
 		c.buffered.Release()
 		return c.failed(ctx, reservation, fmt.Errorf("%w: %w", errBrokenOff, err))
 	}
 	if len(body) == maxBufferedBody {
-		conn.Close()
+		lease.Close()
 		c.buffered.Release()
 		return c.failed(ctx, reservation, errTooLong)
 	}
 	if quarantine.Survived(in.Status) {
 		c.gateway.Quarantine.Served(c.subject)
 	}
-	in.Finish(c.gateway.Pool, reservation.Upstream.Name, conn)
+	lease.Finish(in)
 	response := &bufferedResponse{
 		status: in.Status,
 		header: in.Header,
@@ -124,13 +124,13 @@
 func (c *call) relayStream(
 	ctx context.Context,
 	reservation *dispatch.Reservation,
-	conn *exchange.Conn,
+	lease *exchange.Lease,
 	in *exchange.IncomingResponse,
 	began time.Time,
 ) attemptResult {
 	resumed := c.stream.begun()
 	if resumed && in.Status != http.StatusOK {
-		conn.Close()
+		lease.Close()
 		return c.failed(ctx, reservation, fmt.Errorf("%w: status %d", errNotResumed, in.Status))
 	}
 	reservation.ResponseStarted()
@@ -148,19 +148,19 @@
 			err = c.stream.checkResumed(event)
 		}
 		if err != nil {
-			conn.Close()
+			lease.Close()
 			return c.failed(ctx, reservation, brokenOff(err))
 		}
 		if event.hasContent {
 			c.recordBegun()
 		}
 		if !c.sendEvent(event, in) {
-			conn.Close()
+			lease.Close()
 			reservation.Release(dispatch.Report{}) // inconclusive
 			return resultGiveUp
 		}
 	}
-	in.Finish(c.gateway.Pool, reservation.Upstream.Name, conn)
+	lease.Finish(in)
 	c.gateway.Quarantine.Served(c.subject)
 	reservation.Release(dispatch.Report{Outcome: dispatch.Answered})
 	if !c.stream.headerSent {
--- a/gateway/unbuffered.go
+++ b/gateway/unbuffered.go
@@ -32,12 +32,12 @@
 func (c *call) relayUnbuffered(
 	ctx context.Context,
 	reservation *dispatch.Reservation,
-	conn *exchange.Conn,
+	lease *exchange.Lease,
 	in *exchange.IncomingResponse,
 	begun []byte,
 ) attemptResult {
 	if in.Status >= http.StatusInternalServerError || c.stream.headerSent {
-		conn.Close()
+		lease.Close()
 		c.buffered.Release()
 		return c.failed(ctx, reservation, fmt.Errorf("upstream responded with status %d: %w", in.Status, memory.ErrFull))
 	}
@@ -57,13 +57,13 @@
 		err = c.copyBody(in.Body)
 	}
 	if errors.Is(err, errBrokenOff) {
-		conn.Close()
+		lease.Close()
 		c.stream.headerSent = true
 		_ = c.failed(ctx, reservation, err) // part of it was sent: no retry
 		return resultGiveUp
 	}
 	if err != nil {
-		conn.Close()
+		lease.Close()
 		c.stream.headerSent = true
 		reservation.Release(dispatch.Report{}) // inconclusive
 		return resultGiveUp
@@ -71,7 +71,7 @@
 	if quarantine.Survived(in.Status) {
 		c.gateway.Quarantine.Served(c.subject)
 	}
-	in.Finish(c.gateway.Pool, reservation.Upstream.Name, conn)
+	lease.Finish(in)
 	reservation.Release(dispatch.Report{Outcome: dispatch.Answered})
 	c.finish(in.Status, reasonServed)
 	return resultServed
