Propose no map for a rank that the group no longer has

A planner keeps its number through a new formation, so its sidecar would spin. It proposes nothing then, and says so in the log.

--- a/group/mapchange.go
+++ b/group/mapchange.go
@@ -66,8 +66,14 @@
 		return nil
 	}
 	p.lastChange = time.Now()
-	p.highestMap = nextVersion(p.highestMap, p.Self, len(survey.Reports))
-	version := p.highestMap
+	version, ok := nextVersion(p.highestMap, p.Self, len(survey.Reports))
+	if !ok {
+		p.Log.Warn("map not changed: the group has no rank of the planner's number",
+			zap.Int("rank", int(p.Self)),
+			zap.Int("ranks", len(survey.Reports)))
+		return nil
+	}
+	p.highestMap = version
 	began := time.Now()
 	err := s.prepare(ctx, version, plan.layers, newPatch(p.version, config.Experts, p.layers, plan.layers))
 	if err != nil {
--- a/group/place_test.go
+++ b/group/place_test.go
@@ -299,14 +299,23 @@
 func TestMapVersionIdentifiesProposer(t *testing.T) {
 	for self := range foxtailstack.Rank(5) {
 		for above := range foxtailstack.Epoch(20) {
-			next := nextVersion(above, self, 5)
-			if next <= above || next > above+5 || proposerRank(next, 5) != self {
+			next, ok := nextVersion(above, self, 5)
+			if !ok || next <= above || next > above+5 || proposerRank(next, 5) != self {
 				t.Errorf("got version %d as the next above %d proposed by rank %d", next, above, self)
 			}
 		}
 	}
 }
 
+// Guards against a planner that looks without end for a version of a rank that its group has no
+// longer.
+func TestNoVersionForRankOutsideGroup(t *testing.T) {
+	_, ok := nextVersion(3, 5, 5)
+	if ok {
+		t.Error("got a version for rank 5 of 5, want none")
+	}
+}
+
 // BenchmarkPlace measures the planning of one layer set, up to the largest
 // group size that the system is designed for.
 func BenchmarkPlace(b *testing.B) {
--- a/group/switch.go
+++ b/group/switch.go
@@ -237,13 +237,17 @@
 }
 
 // nextVersion returns the lowest version above another that identifies rank
-// self as the rank beside the proposer.
-func nextVersion(above foxtailstack.Epoch, self foxtailstack.Rank, size int) foxtailstack.Epoch {
+// self as the rank beside the proposer. It returns false if the group has no such rank, as
+// after it has formed anew with fewer ranks.
+func nextVersion(above foxtailstack.Epoch, self foxtailstack.Rank, size int) (foxtailstack.Epoch, bool) {
+	if int(self) >= size {
+		return 0, false
+	}
 	next := above + 1
 	for proposerRank(next, size) != self {
 		next++
 	}
-	return next
+	return next, true
 }
 
 // armAll arms every rank for a map at a pass. The rank beside the map's
