--- a/gateway/call.go
+++ b/gateway/call.go
@@ -164,6 +164,9 @@
 	}
 }
 
+// errOutdated ends a request whose time was over as a crash was recorded under an equal one.
+var errOutdated = errors.New("a crash was recorded under an equal request")
+
 // errNoRetry ends a request for which no further attempt is allowed.
 var errNoRetry = errors.New("no further attempt is allowed")
 
@@ -197,6 +200,7 @@
 		admission.Release()
 		if err == nil {
 			reservation.Release(dispatch.Report{}) // inconclusive
+			err = errOutdated
 		}
 		if !outdated || ctx.Err() != nil {
 			return nil, admission, err
