--- a/group/local.go
+++ b/group/local.go
@@ -59,17 +59,23 @@
 
 // Report returns the state of the rank.
 func (l *Local) Report(ctx context.Context) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, localTimeout)
+	defer cancel()
 	return l.Sidecar.Rank.Report(ctx)
 }
 
 // Counts returns how often the rank's requests chose each expert.
 func (l *Local) Counts(ctx context.Context) (Counts, error) {
+	ctx, cancel := context.WithTimeout(ctx, localTimeout)
+	defer cancel()
 	return l.Sidecar.Rank.Counts(ctx)
 }
 
 // Experts returns the version of the map in use and the experts of the rank, by
 // layer set.
 func (l *Local) Experts(ctx context.Context) (foxtailstack.Epoch, [][]foxtailstack.Expert, error) {
+	ctx, cancel := context.WithTimeout(ctx, localTimeout)
+	defer cancel()
 	return l.Sidecar.Rank.Experts(ctx)
 }
 
