Count the retry budget by the steady clock

Buckets are numbered by the time since the first one now, which time.Since takes from the steady clock.

No test: the runtime's clock cannot be set apart from the time of day in one. The tests of the budget pass as before.

--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -35,14 +35,17 @@
 	// no Slack is used: the process that ran here before may have used it.
 	Started time.Time
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// began is the time of the first bucket. Buckets are numbered by the time since then,
+	// which the time of day does not change.
+	began    time.Time
 	counters map[foxtailstack.ServiceName]*windowCounter
 }
 
 // windowCounter counts the requests and retries of one service in the buckets of the
 // window.
 type windowCounter struct {
-	// newest is the number of the newest bucket, counted from the Unix epoch.
+	// newest is the number of the newest bucket, counted from the first one of the budget.
 	newest   int64
 	requests [windowBuckets]int
 	retries  [windowBuckets]int
@@ -97,8 +100,11 @@
 		counter = &windowCounter{}
 		b.counters[service] = counter
 	}
+	if b.began.IsZero() {
+		b.began = time.Now()
+	}
 	length := b.window() / windowBuckets
-	now := time.Now().UnixNano() / int64(length)
+	now := int64(time.Since(b.began) / length)
 	if now-counter.newest >= windowBuckets {
 		*counter = windowCounter{newest: now}
 	}
