--- a/gateway/call.go
+++ b/gateway/call.go
@@ -74,6 +74,8 @@
 	// lastFailure is the last error response of an upstream. It is relayed if no
 	// attempt succeeds.
 	lastFailure *bufferedResponse
+	// responseTooLong is set if an upstream's response was longer than can be buffered.
+	responseTooLong bool
 	stream      streamState
 	// progress is the last observed progress of the current attempt.
 	progress progress
--- a/gateway/endlessbody_test.go
+++ b/gateway/endlessbody_test.go
@@ -100,3 +100,18 @@
 	close(release)
 	<-ended
 }
+
+// Guards against a caller that does not learn why its request failed: both upstreams answer
+// with more than can be buffered.
+func TestTooLongResponseIsNamed(t *testing.T) {
+	worker := endlessBytes("", "", "q")
+	tg := newTestGateway(t, worker, worker)
+	tg.timeout = 4 * time.Second
+	want := callerResponse{
+		Status: http.StatusBadGateway,
+		Body:   "response-too-long\n",
+	}
+	if diff := cmp.Diff(want, tg.send(t, http.MethodPost, "/lookup/x")); diff != "" {
+		t.Errorf("response differs (-want +got):\n%.500s", diff)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -190,6 +190,7 @@
 	reasonQuarantined        endReason = "quarantined"
 	reasonEqualRuns          endReason = "equal-request-runs"
 	reasonStopping           endReason = "entry-stops"
+	reasonTooLong            endReason = "response-too-long"
 )
 
 // Values of the Retry-After header.
--- a/gateway/giveup.go
+++ b/gateway/giveup.go
@@ -39,6 +39,8 @@
 		c.respondError(http.StatusBadGateway, reasonStopping)
 	case isStopping(ctx), errors.Is(err, errStopping):
 		c.respondUnavailable(reasonStopping, retryAfterElsewhere)
+	case c.responseTooLong:
+		c.respondError(http.StatusBadGateway, reasonTooLong)
 	case len(c.mayHaveRun) > 0 && ctx.Err() != nil:
 		c.respondError(http.StatusGatewayTimeout, reasonTimeout)
 	case len(c.mayHaveRun) > 0:
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -85,6 +85,7 @@
 	if len(body) == maxBufferedBody {
 		lease.Close()
 		c.buffered.Release()
+		c.responseTooLong = true
 		return c.failed(ctx, reservation, errTooLong)
 	}
 	if quarantine.Survived(in.Status) {
