--- a/gateway/call.go
+++ b/gateway/call.go
@@ -76,7 +76,7 @@
 	lastFailure *bufferedResponse
 	// responseTooLong is set if an upstream's response was longer than can be buffered.
 	responseTooLong bool
-	stream      streamState
+	stream          streamState
 	// progress is the last observed progress of the current attempt.
 	progress progress
 	// retryGranted records that the retry budget has already granted the next
