--- a/group/groups_test.go
+++ b/group/groups_test.go
@@ -183,7 +183,7 @@
 		time.Sleep(3 * time.Second)
 		// The token of the first group's planner is newer than that of the second one.
 		from, to := s.groups[2], s.groups[0]
-		if s.rows["g0"].version > s.rows["g2"].version {
+		if s.versionOf("g0") > s.versionOf("g2") {
 			from, to = to, from
 		}
 		moved := from.ranks[3]
--- a/group/simservice_test.go
+++ b/group/simservice_test.go
@@ -167,6 +167,13 @@
 	return row.value, row.version, nil
 }
 
+// versionOf returns the version of a row.
+func (s *simService) versionOf(name string) foxtailstack.StoreVersion {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[name].version
+}
+
 // Claim replaces a row.
 func (s *simService) Claim(_ context.Context, name string, expect foxtailstack.StoreVersion, value []byte) (foxtailstack.StoreVersion, error) {
 	s.mu.Lock()
