Report an entry as ready only once it knows the crashes that others share

What callers saw: nothing yet; a test saw a request at an entry that had just started sent on to a rank, which it crashed (listed in KNOWN-RED.txt as TestDeadlyPartOutlivesEntries, not traced).

Cause: an entry was ready with configuration and list of upstreams. The table of crashes is read by a third call at the same time, and nothing waited for it.

The entry is ready once that table was read, or has not come for 2 s: then the store answers in part only, and serving without it is better than not serving. With the store away an entry that starts has no configuration either and is not ready; the fallback store gives crashes as before.

Tests: TestNotReadyBeforeCrashesAreRead and TestReadyIfCrashesCannotBeRead; the first one is ready at once with the check taken out.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,6 +74,8 @@
 	endOnce sync.Once
 	ending  context.Context
 	end     context.CancelFunc
+	// firstAsked is the time by Now at which crashesKnown first waited; zero before.
+	firstAsked atomic.Int64
 	// serviceTimes says how long requests take.
 	serviceTimes serviceTimes
 	// answers divides Memory among the upstreams.
@@ -81,13 +83,28 @@
 	answersOnce sync.Once
 }
 
+// crashReadTime is how long a gateway that knows configuration and fleet waits for the crashes
+// that other entries share, before it is ready without them: the store answers in part only.
+const crashReadTime = 2 * time.Second
+
+// crashesKnown reports whether the crashes that other entries share were read, or have not
+// come for crashReadTime.
+func (g *Gateway) crashesKnown() bool {
+	if g.Quarantine.Read() {
+		return true
+	}
+	now := int64(g.Now())
+	g.firstAsked.CompareAndSwap(0, max(now, 1))
+	return time.Duration(now-g.firstAsked.Load()) >= crashReadTime
+}
+
 // Ready reports whether callers should send requests to this entry: configuration
-// and fleet are known, the gateway is not draining, and, if keys are required, the
+// and fleet are known, and so are the crashes of upstreams (see crashesKnown), the gateway is not draining, and, if keys are required, the
 // configuration is younger than readyFraction of KeyRevocation. The gateway accepts
 // keys for longer than that, see keysCurrent.
 func (g *Gateway) Ready() bool {
 	cfg := g.View.Config()
-	if cfg == nil || g.View.Fleet() == nil || g.draining() {
+	if cfg == nil || g.View.Fleet() == nil || g.draining() || !g.crashesKnown() {
 		return false
 	}
 	return !cfg.KeyRequired || g.KeyRevocation == 0 || float64(g.View.ConfigAge(g.Now())) < readyFraction*float64(g.KeyRevocation)
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/foxtailstack/foxtailstack"
 	"github.com/foxtailstack/foxtailstack/platform/standin"
 	"github.com/foxtailstack/foxtailstack/quarantine"
 	"github.com/google/go-cmp/cmp"
@@ -136,3 +137,33 @@
 		t.Errorf("response differs (-want +got):\n%s", diff)
 	}
 }
+
+// unwritten is a table that nothing is written to.
+type unwritten struct{}
+
+func (unwritten) Write(context.Context, string, []foxtailstack.Record, []string) error { return nil }
+
+// Guards against an entry that has just started and is sent requests that it does not know to
+// have crashed upstreams, because it has not read that yet.
+func TestNotReadyBeforeCrashesAreRead(t *testing.T) {
+	tg := newTestGateway(t, good)
+	tg.gateway.Quarantine.Writer = unwritten{}
+	ready := []bool{tg.gateway.Ready()}
+	tg.gateway.Quarantine.Replace(nil, 1)
+	ready = append(ready, tg.gateway.Ready())
+	if diff := cmp.Diff([]bool{false, true}, ready); diff != "" {
+		t.Errorf("ready before and after the crashes were read (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against an entry that is never ready because the store answers in part only.
+func TestReadyIfCrashesCannotBeRead(t *testing.T) {
+	tg := newTestGateway(t, good)
+	tg.gateway.Quarantine.Writer = unwritten{}
+	ready := []bool{tg.gateway.Ready()}
+	tg.age = 2500 * time.Millisecond
+	ready = append(ready, tg.gateway.Ready())
+	if diff := cmp.Diff([]bool{false, true}, ready); diff != "" {
+		t.Errorf("ready at once and after 2.5 s (-want +got):\n%s", diff)
+	}
+}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/foxtailstack/foxtailstack"
@@ -39,6 +40,8 @@
 	Log      *zap.Logger
 
 	mu sync.Mutex
+	// read is set once the table has been read.
+	read atomic.Bool
 	// rows holds the names of the rows that the store is known to have.
 	rows map[string]struct{}
 	// era is that of the store when the table was read last.
@@ -48,6 +51,12 @@
 	toFallback outbox
 }
 
+// Read reports whether the crashes that other entries share are known: the table has been read,
+// or there is none.
+func (t *Table) Read() bool {
+	return t.Writer == nil || t.read.Load()
+}
+
 // Report records crashes and shares them.
 func (t *Table) Report(crashes []Crash) {
 	t.mu.Lock()
@@ -135,6 +144,7 @@
 	t.rows = nil
 	t.mu.Unlock()
 	t.Update(records, version)
+	t.read.Store(true)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var lost []string
