Let the soak play bytes without end, cut heads, slow readers and late bodies

Upstreams of the soak send bytes without end in every part of an answer and heads that are cut off, one request in 16 during trouble; callers read answers of 6 MB slowly and send the bodies of bookings up to half a second late, in trouble, in calm and in planned stops. No process may pass the memory of its settings.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -46,6 +46,10 @@
 	l.count(id)
 	time.Sleep(10 * time.Millisecond)
 	standin.Prove(w, r)
+	if r.URL.Path == longPath {
+		_, _ = w.Write(make([]byte, longAnswer)) // the caller may have left
+		return
+	}
 	_, _ = io.WriteString(w, "answer to "+id) // the caller may have left
 }
 
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -6,6 +6,8 @@
 // A run starts entries and sidecars on addresses of the loopback network, before
 // stand-ins for the store, for plain upstreams and for a model group. Every way
 // to a stand-in leads through a proxy that delays, resets, cuts or silences it;
+// upstreams send bytes without end in every part of an answer, and heads that are cut off;
+// callers read long answers slowly and send bodies late;
 // processes are killed, stopped, paused, restarted and told to reload; ranks crash, and
 // their group opens anew. Rounds of
 // trouble and of calm follow each other. All of it is in the tests:
@@ -29,4 +31,5 @@
 //     crashed, after a time in which all entries can know.
 //   - An upstream that names a limit gets no more in calm.
 //   - In calm, nearly all is served.
+//   - No process passes the memory of its settings.
 package soak
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -74,6 +74,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	wg.Go(func() { c.run(ctx) })
+	wg.Go(func() { c.runSlow(ctx) })
+	wg.Go(func() { s.watchMemory(ctx) })
 	for round := range rounds {
 		s.trouble(rng, c, round)
 		s.calm(rng, c, round)
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -155,7 +155,11 @@
 
 // upstream starts an upstream behind a proxy and registers it.
 func (s *system) upstream(kind, i int, service string, handler http.Handler) *httptest.Server {
-	served := httptest.NewUnstartedServer(handler)
+	served := httptest.NewUnstartedServer(&faulty{
+		next:    handler,
+		trouble: &s.inTrouble,
+		runs:    s.runs,
+	})
 	served.Listener = standin.RepeatingListener{Listener: served.Listener}
 	served.Start()
 	s.stops = append(s.stops, served.CloseClientConnections, served.Close)
@@ -221,7 +225,7 @@
 front = %q
 ready = %q
 [limits]
-memoryMb = 284
+memoryMb = %d
 [bounds]
 graceS = %d
 revokeMs = %d
@@ -232,7 +236,7 @@
 [platform]
 address = %q
 `, name, host, s.base+peersPort, s.base+metricsPort, s.address(kind, i, upstreamPort),
-		s.address(kind, i, callersPort), s.address(kind, i, readyPort),
+		s.address(kind, i, callersPort), s.address(kind, i, readyPort), memoryMb,
 		int(grace.Seconds()), revocation.Milliseconds(), s.address(storeMachine, machine, storePort))
 	p := &process{
 		name:     name,
