--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -105,7 +105,7 @@
 }
 
 // checkCrashes checks that a request that crashes upstreams was not sent on.
-func checkCrashes(t *testing.T, log *standin.CrashLog, troubleEnded time.Time) {
+func checkCrashes(t testing.TB, log *standin.CrashLog, troubleEnded time.Time) {
 	t.Helper()
 	crashes := log.Crashes()
 	t.Logf("a request crashed upstreams %d times", len(crashes))
--- a/soak/faulty_test.go
+++ b/soak/faulty_test.go
@@ -81,11 +81,14 @@
 	next    http.Handler
 	trouble *atomic.Bool
 	runs    *ledger
+	// always is set while all answers are without end.
+	always atomic.Bool
 }
 
 // ServeHTTP serves a request or answers with bytes that are no answer.
 func (f *faulty) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !f.trouble.Load() || rand.IntN(faultyShare) > 0 {
+	always := f.always.Load()
+	if !always && (!f.trouble.Load() || rand.IntN(faultyShare) > 0) {
 		f.next.ServeHTTP(w, r)
 		return
 	}
@@ -101,7 +104,7 @@
 		_ = tcp.SetLinger(0) // an answer without a length must not end as if it were whole
 	}
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s: x\r\n", id, standin.HeaderProof)
-	if rand.IntN(2) == 0 {
+	if !always && rand.IntN(2) == 0 {
 		_, _ = io.WriteString(conn, head[:rand.IntN(len(head))]) // the entry may have left
 		return
 	}
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -55,7 +55,7 @@
 
 // system holds the stand-ins, proxies and processes of one run.
 type system struct {
-	t         *testing.T
+	t         testing.TB
 	dir       string
 	binary    string
 	base      int
@@ -64,7 +64,9 @@
 	processes []*process
 	// proxies holds the proxies by the name of what they lead to.
 	proxies map[string]*proxy
-	runs    *ledger
+	// faulty holds the upstreams by the names that they have at first.
+	faulty map[string]*faulty
+	runs   *ledger
 	// crashes records the requests that crash plain upstreams.
 	crashes *standin.CrashLog
 	// leavers holds the plain upstreams, entryOf returns the entry that a request was sent
@@ -90,7 +92,7 @@
 )
 
 // newSystem starts stand-ins and processes.
-func newSystem(t *testing.T, binary string, seed uint64) *system {
+func newSystem(t testing.TB, binary string, seed uint64) *system {
 	s := &system{
 		t:      t,
 		dir:    t.TempDir(),
@@ -102,6 +104,7 @@
 			Experts: standin.ModelExperts,
 		},
 		proxies: make(map[string]*proxy),
+		faulty:  make(map[string]*faulty),
 		runs:    newLedger(),
 		crashes: &standin.CrashLog{},
 	}
@@ -131,7 +134,7 @@
 
 // reservePorts returns the first of some ports that are free on the loopback network.
 // Other runs do not take them until release is called.
-func reservePorts(t *testing.T, seed uint64) (base int, release func()) {
+func reservePorts(t testing.TB, seed uint64) (base int, release func()) {
 	for try := range 50 {
 		base := 12000 + int((seed*131+uint64(try)*17)%1500)*ports
 		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", base))
@@ -155,11 +158,13 @@
 
 // upstream starts an upstream behind a proxy and registers it.
 func (s *system) upstream(kind, i int, service string, handler http.Handler) *httptest.Server {
-	served := httptest.NewUnstartedServer(&faulty{
+	f := &faulty{
 		next:    handler,
 		trouble: &s.inTrouble,
 		runs:    s.runs,
-	})
+	}
+	s.faulty[fmt.Sprintf("%s-%d", service, i)] = f
+	served := httptest.NewUnstartedServer(f)
 	served.Listener = standin.RepeatingListener{Listener: served.Listener}
 	served.Start()
 	s.stops = append(s.stops, served.CloseClientConnections, served.Close)
