--- a/gateway/metrics_test.go
+++ b/gateway/metrics_test.go
@@ -16,6 +16,7 @@
 		reasonServed, reasonNoConfig, reasonNoRoute, reasonUnknownKey, reasonStaleKeys, reasonBody, reasonNoUpstream,
 		reasonOverloaded, reasonNotRun, reasonTimeout, reasonAllFailed, reasonUpstreamFailure, reasonStreamBroken, reasonCallerDisconnected,
 		reasonQuarantined, reasonEqualRuns, reasonPaused, reasonLimited, reasonEvacuated, reasonRegions, reasonCallerSlow, reasonMemory,
+		reasonStopping, reasonTooLong,
 	}
 	for status := range 1000 {
 		for _, reason := range reasons {
