--- a/dispatch/outlier.go
+++ b/dispatch/outlier.go
@@ -21,17 +21,17 @@
 	ejectedAt time.Time
 }
 
-// fail records that a request failed which was sent at a time. It returns the time until
-// which the upstream is ejected, or zero. Requests that fail together count as one.
-func (o *outlier) fail(sentAt, now time.Time) time.Time {
+// fail records that a request failed which was sent at a time. It returns for how long the
+// upstream is ejected; zero if it is not. Requests that fail together count as one.
+func (o *outlier) fail(sentAt, now time.Time) time.Duration {
 	o.failures++
 	if o.failures < outlierFailures || sentAt.Before(o.ejectedAt) {
-		return time.Time{}
+		return 0
 	}
-	until := now.Add(min(outlierTime<<min(o.ejections, 10), maxOutlierTime))
+	d := min(outlierTime<<min(o.ejections, 10), maxOutlierTime)
 	o.ejections++
 	o.ejectedAt = now
-	return until
+	return d
 }
 
 // answer records that the upstream has answered.
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -83,7 +83,8 @@
 		state.recordOutcome(false, report.ResponseTime)
 		q.avgResponseSeconds = averageResponse(q.avgResponseSeconds, report.ResponseTime)
 	case Failed:
-		state.recordFailure(r.begunAt, now)
+		ejected := state.recordFailure(r.begunAt, now)
+		r.logEjected(state.outlier.failures, ejected)
 	case Refused:
 		state.refusedUntil = now.Add(refusedTime)
 	case Unreachable:
--- a/dispatch/statelog.go
+++ b/dispatch/statelog.go
@@ -56,6 +56,18 @@
 	}
 }
 
+// logEjected logs that the upstream is ejected after failures in a row, if it is.
+func (r *Reservation) logEjected(failures int, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	r.scheduler.logger().Info("upstream ejected after failures",
+		zap.String("service", string(r.service)),
+		zap.String("upstream", string(r.Upstream.Name)),
+		zap.Int("failures", failures),
+		zap.Duration("for", d))
+}
+
 // logGroupBroken logs that the group does not work, unless its circuit breaker is
 // open already. The caller holds the scheduler's mu.
 func (r *Reservation) logGroupBroken(culprit foxtailstack.UpstreamName) {
--- a/dispatch/upstreamstate.go
+++ b/dispatch/upstreamstate.go
@@ -238,13 +238,15 @@
 	}
 }
 
-// recordFailure records that a request failed that was sent at a time.
-func (s *upstreamState) recordFailure(sentAt, now time.Time) {
+// recordFailure records that a request failed that was sent at a time. It returns for how long
+// the upstream is ejected for that; zero if it is not.
+func (s *upstreamState) recordFailure(sentAt, now time.Time) time.Duration {
 	s.recordOutcome(true, 0)
-	until := s.outlier.fail(sentAt, now)
-	if until.After(s.ejectedUntil) {
+	d := s.outlier.fail(sentAt, now)
+	if until := now.Add(d); d > 0 && until.After(s.ejectedUntil) {
 		s.ejectedUntil = until
 	}
+	return d
 }
 
 // averageResponse returns the moving average of response times in seconds, zero if there is
