--- a/dispatch/allotment.go
+++ b/dispatch/allotment.go
@@ -118,7 +118,7 @@
 		share: share,
 	}
 	if t.least {
-		a.quota = min(a.quota, state.yieldQuota)
+		a.quota = state.yieldQuota // not the lesser one: each is rounded up at other ranks
 	}
 	return a
 }
--- a/dispatch/share_test.go
+++ b/dispatch/share_test.go
@@ -149,7 +149,7 @@
 			s.ObserveEntries(service, groupName, entries)
 			s.ObserveGroup(service, groupName, loads, 0)
 			shares += s.LoadShare()
-			taken += takeAll(t, s)
+			taken += takeAll(t, s, 0)
 		}
 		const free = ranks * slots
 		if taken < free/2 || taken > 2*free {
@@ -198,7 +198,7 @@
 					s.ObserveEntries(service, groupName, entries)
 					s.ObserveGroup(service, groupName, loads, 0)
 					time.Sleep(test.age)
-					taken += takeAll(t, s)
+					taken += takeAll(t, s, 0)
 				}
 				free := ranks * slots
 				if test.age == 0 {
@@ -212,14 +212,15 @@
 	}
 }
 
-// takeAll reserves all slots that a scheduler grants, and returns their number.
-func takeAll(t *testing.T, s *dispatch.Scheduler) int {
+// takeAll reserves all slots that a scheduler grants requests of an urgency, and returns their number.
+func takeAll(t *testing.T, s *dispatch.Scheduler, urgency int) int {
 	t.Helper()
 	for n := 0; ; n++ {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 		_, err := s.Acquire(ctx, dispatch.Request{
 			Service: service,
 			Grouped: true,
+			Urgency: urgency,
 		})
 		cancel()
 		if err != nil {
@@ -227,3 +228,75 @@
 		}
 	}
 }
+
+// arrive lets a request of an urgency arrive that ends at once, with a slot or without.
+func arrive(t *testing.T, s *dispatch.Scheduler, urgency int) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	reservation, err := s.Acquire(ctx, dispatch.Request{
+		Service: service,
+		Grouped: true,
+		Urgency: urgency,
+	})
+	if err == nil {
+		reservation.Release(dispatch.Report{})
+	}
+}
+
+// Guards against the least urgent requests of many entries that find no rank while slots are
+// free: where an entry may take one slot at few of the ranks, at others than those where the
+// same requests leave enough for more urgent ones. Each entry takes its load share and half as much again, rounded
+// up, and together they take at least half of the slots.
+func TestLeastUrgentTakeFreeSlots(t *testing.T) {
+	const entries, ranks, slots = 53, 129, 6
+	tests := map[string][2]int{ // requests at every other rank
+		"all ranks have free slots": {3, 3},
+	}
+	for name, running := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				loads := make([]int, ranks)
+				free, taken := 0, 0
+				for i := range loads {
+					loads[i] = running[i%2]
+					free += slots - loads[i]
+				}
+				for range entries {
+					n := takeLeastUrgent(t, entries, slots, loads)
+					if most := free*3/2/entries + 1; n > most {
+						t.Errorf("an entry takes %d of %d free slots, want at most %d", n, free, most)
+					}
+					taken += n
+				}
+				if taken < free/2 || taken > 2*free {
+					t.Errorf("%d entries take %d of %d free slots, want at least half and at most twice as many", entries, taken, free)
+				}
+			})
+		})
+	}
+}
+
+// takeLeastUrgent returns how many slots one of some entries takes for the less urgent of two
+// kinds of requests at a group whose ranks have the given numbers of requests.
+func takeLeastUrgent(t *testing.T, entries, slots int, loads []int) int {
+	const leastUrgent = 2
+	s := newScheduler(len(loads), slots)
+	arrive(t, s, leastUrgent)
+	s.ObserveEntries(service, groupName, entries)
+	s.ObserveUrgencyUse(service, []dispatch.UrgencyUse{
+		{
+			Running:  40,
+			Arrivals: 30,
+		},
+		{
+			Urgency:  leastUrgent,
+			Running:  350,
+			Arrivals: 260,
+		},
+	}, 0)
+	for range 2 { // the first tells the group of the ranks
+		observeLoads(s, groupName, 0, 0, loads...)
+		time.Sleep(time.Millisecond)
+	}
+	return takeAll(t, s, leastUrgent)
+}
