--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -115,9 +115,11 @@
 	}
 }
 
-// next returns the quota of the free slots of the next rank.
+// next returns the quota of the free slots of the next rank. A negative number of them, of a
+// rank with more requests than it has slots for, counts as none, so that it does not lower the
+// quotas of others.
 func (s *slotDivider) next(free int) int {
-	exact := float64(free)*s.fraction + s.remainder
+	exact := float64(max(0, free))*s.fraction + s.remainder
 	whole := math.Floor(exact)
 	s.remainder = exact - whole
 	return int(whole)
--- a/dispatch/share_test.go
+++ b/dispatch/share_test.go
@@ -245,12 +245,14 @@
 
 // Guards against the least urgent requests of many entries that find no rank while slots are
 // free: where an entry may take one slot at few of the ranks, at others than those where the
-// same requests leave enough for more urgent ones. Each entry takes its load share and half as much again, rounded
+// same requests leave enough for more urgent ones, or where the ranks that are full lower what
+// it may take at the others. Each entry takes its load share and half as much again, rounded
 // up, and together they take at least half of the slots.
 func TestLeastUrgentTakeFreeSlots(t *testing.T) {
 	const entries, ranks, slots = 53, 129, 6
 	tests := map[string][2]int{ // requests at every other rank
 		"all ranks have free slots": {3, 3},
+		"every other rank is full":  {4, 6},
 	}
 	for name, running := range tests {
 		t.Run(name, func(t *testing.T) {
