--- a/dispatch/allotment.go
+++ b/dispatch/allotment.go
@@ -47,6 +47,14 @@
 	return q.tier(q.room.leastUrgency(now), now)
 }
 
+// setRoomDemand sets how far the least urgent requests fill the ranks of a group, by what all
+// requests need.
+func (q *queue) setRoomDemand(name GroupName, now time.Time) {
+	group := q.group(name)
+	need := q.room.need(q.ranks, q.entryShare(), now)
+	group.passRoom.setDemand(need, group.slotLimit.bounds, group.maxSlots)
+}
+
 // entryShare returns the fraction of the requests of all entries that come to this process,
 // as the average over the groups.
 func (q *queue) entryShare() float64 {
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -71,6 +71,7 @@
 	fewSlow := countSlow(ranks) <= len(ranks)/maxSlowDivisor
 	divider := newQuotaDivider(ownShare.allowance())
 	q.ranks = len(ready)
+	q.setRoomDemand(group, now)
 	lastTier := q.lastTier(now)
 	order := newRandomOrder(len(ready))
 	for range ready {
--- a/dispatch/inversion_test.go
+++ b/dispatch/inversion_test.go
@@ -101,6 +101,7 @@
 	m.slots.observeRunning(perRank)
 	m.slots.observePass(d, limitSlots)
 	m.passes.observe(d, perRank, bounds, limitSlots)
+	m.passes.setDemand(m.q.room.need(limitRanks, 1, m.now), bounds, limitSlots)
 	m.now = m.now.Add(d)
 	var left []*burstStream
 	for _, s := range m.running {
--- a/dispatch/passroom.go
+++ b/dispatch/passroom.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -10,13 +11,16 @@
 	// the number from which it sets a limit.
 	roomPasses    = 256
 	minRoomPasses = 16
-	// passesPerOutlier is the number of passes of which the longest is left out. A stream of
-	// some twenty events is late if one of them comes after a longer pass, so that there are
-	// but few.
-	passesPerOutlier = 128
-	// maxPassFactor is the factor of the allowed gap from which a pass is left out as well:
-	// it was long for other reasons than the number of requests.
+	// maxPassFactor is the factor of the allowed gap from which a pass is left out: it was
+	// long for other reasons than the number of requests.
 	maxPassFactor = 2
+	// roomSteps is the number of limits that are compared.
+	roomSteps = 16
+	// lateLoss is what a late response to a request of the least urgency loses; a refused one
+	// loses all. urgentLateLoss is the same for more urgent requests, which are not to be late
+	// for others.
+	lateLoss       = 0.5
+	urgentLateLoss = 2.0
 )
 
 // passSample is one pass: how long it took, and how many requests a rank had on average.
@@ -25,16 +29,29 @@
 	running  float64
 }
 
-// passRoom limits how many requests each rank has while the least urgent ones are sent, so
-// that even the passes after a shift of demand stay within the gap between events that
-// callers allow. Its load is a burst of requests that may wait: if they fill all slots, the
-// urgent streams that run beside them are late, since each request makes every pass longer.
-// Unlike a slotLimit, which holds for all, it counts the longest passes, and learns from
+// roomDemand is what requests need of a group.
+type roomDemand struct {
+	// urgent and least are the numbers of requests that each rank would have if none had to
+	// wait: of those of the least urgency, and of all others.
+	urgent, least float64
+	// hold is the time that a request has its slot.
+	hold time.Duration
+}
+
+// passRoom limits how many requests each rank has while the least urgent ones are sent. Its
+// load is a burst of requests that may wait: if they fill all slots, the urgent streams that
+// run beside them are late, since each request makes every pass longer, and more so after a
+// shift of demand. It compares what is lost with each limit: the requests beyond it, which
+// are refused or wait until they are, and the streams that meet a pass longer than the gap
+// between events that callers allow. Where the requests need fewer slots than a limit leaves,
+// neither is lost, so that it sets none: also if passes are long for other reasons, such as
+// switches of the expert map. Unlike a slotLimit, which holds for all requests, it learns from
 // passes with few requests what those with more will take. The zero value sets no limit.
 type passRoom struct {
 	passes []passSample
-	// limit is the number of requests at each rank with which passes are short enough; zero
-	// if it is not known.
+	demand roomDemand
+	// limit is the number of requests at each rank with which least is lost; zero if it is
+	// not known.
 	limit float64
 }
 
@@ -52,22 +69,60 @@
 	if len(p.passes) > roomPasses {
 		p.passes = p.passes[1:]
 	}
+}
+
+// setDemand records what the requests need, and sets the limit anew.
+func (p *passRoom) setDemand(demand roomDemand, bounds PassBounds, slots int) {
+	p.demand = demand
 	p.limit = 0
-	if len(p.passes) < minRoomPasses || bounds.MaxEventGap <= 0 {
+	all := demand.urgent + demand.least
+	if len(p.passes) < minRoomPasses || bounds.MaxEventGap <= 0 || all <= 0 {
 		return
 	}
 	fixed := p.fixedTime(bounds)
-	costs := make([]float64, len(p.passes))
-	for i, pass := range p.passes {
-		costs[i] = float64(max(0, pass.duration-fixed)) / pass.running
+	maxPass := time.Duration(gapMargin * float64(bounds.MaxEventGap))
+	streamPasses := p.streamPasses()
+	leastLoss := math.Inf(1)
+	for step := range roomSteps + 1 {
+		fraction := minSlotFraction + (1-minSlotFraction)*float64(step)/roomSteps
+		limit := fraction * float64(slots)
+		running := min(limit, all)
+		late := p.lateFraction(running, fixed, maxPass, streamPasses)
+		urgent := min(running, demand.urgent)
+		loss := all - running + late*(urgent*urgentLateLoss+(running-urgent)*lateLoss)
+		if loss <= leastLoss {
+			leastLoss = loss
+			p.limit = limit
+		}
 	}
-	slices.Sort(costs)
-	cost := costs[len(costs)-1-len(costs)/passesPerOutlier]
-	if cost <= 0 {
-		return
+}
+
+// lateFraction returns the fraction of streams of a number of passes that would have met one
+// longer than maxPass among the last passes, had each rank had some requests.
+func (p *passRoom) lateFraction(running float64, fixed, maxPass time.Duration, streamPasses int) float64 {
+	late := 0
+	reach := 0 // the number of further passes at which streams begin that meet a long one
+	for i := len(p.passes) - 1; i >= 0; i-- {
+		pass := p.passes[i]
+		perRequest := float64(max(0, pass.duration-fixed)) / pass.running
+		if fixed+time.Duration(running*perRequest) > maxPass {
+			reach = streamPasses
+		}
+		if reach > 0 {
+			reach--
+			late++
+		}
+	}
+	return float64(late) / float64(len(p.passes))
+}
+
+// streamPasses returns the number of passes that a stream takes.
+func (p *passRoom) streamPasses() int {
+	sum := time.Duration(0)
+	for _, pass := range p.passes {
+		sum += pass.duration
 	}
-	room := gapMargin*float64(bounds.MaxEventGap) - float64(fixed)
-	p.limit = max(room/cost, minSlotFraction*float64(slots))
+	return int(p.demand.hold * time.Duration(len(p.passes)) / sum)
 }
 
 // fixedTime returns the part of a pass that does not grow with the number of requests: its
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -183,6 +183,21 @@
 	return yields, yields && less < minShare*all
 }
 
+// need returns what requests need of each of some ranks.
+func (r *room) need(ranks int, share float64, now time.Time) roomDemand {
+	least := r.leastUrgency(now)
+	demand := roomDemand{hold: r.holdTime()}
+	for _, use := range r.total(share, now) {
+		requests := max(use.Arrivals*r.holdTime().Seconds(), float64(use.Running)) / float64(max(1, ranks))
+		if use.Urgency < least {
+			demand.urgent += requests
+		} else {
+			demand.least += requests
+		}
+	}
+	return demand
+}
+
 // reserved returns the number of slots of all ranks that requests of an urgency leave free
 // for more urgent ones. It is what those need at the rate at which they come, and the usual
 // deviation from it, less what they use.
--- a/dispatch/room_test.go
+++ b/dispatch/room_test.go
@@ -156,6 +156,11 @@
 		}
 		p.observe(bounds.Base+prompts+time.Duration(running*float64(cost)), running, bounds, limitSlots)
 	}
+	p.setDemand(roomDemand{
+		urgent: 4,
+		least:  8,
+		hold:   2 * time.Second,
+	}, bounds, limitSlots)
 	got := p.requests(limitSlots)
 	pass := bounds.Base + prompts + time.Duration(got*float64(shifted))
 	if pass > bounds.MaxEventGap {
@@ -168,3 +173,34 @@
 		t.Errorf("%.1f requests are allowed before any pass, want all %d", got, limitSlots)
 	}
 }
+
+// Guards against a limit that rests on its floor and refuses requests beside free slots: on a
+// quiet day each switch of the expert map lengthens one pass as much as many requests would.
+func TestPassRoomLeavesWhatIsNeeded(t *testing.T) {
+	const (
+		running     = 2.5
+		switchTime  = 45 * time.Millisecond
+		passesApart = 50
+	)
+	var p passRoom
+	for i := range 4 * passesApart {
+		d := 72 * time.Millisecond
+		switch i % passesApart {
+		case 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11:
+			d = 108 * time.Millisecond // the experts in demand have changed
+		case 12, 13:
+			d = 108*time.Millisecond + switchTime
+		}
+		p.observe(d, running, shiftBounds, shiftSlots)
+	}
+	for _, need := range []float64{1, running, 3, 3.5} {
+		p.setDemand(roomDemand{
+			urgent: need / 10,
+			least:  need - need/10,
+			hold:   1300 * time.Millisecond,
+		}, shiftBounds, shiftSlots)
+		if got := p.requests(shiftSlots); got < need {
+			t.Errorf("%.1f requests at each rank are allowed, want the %.1f that are needed", got, need)
+		}
+	}
+}
