--- a/dispatch/room_test.go
+++ b/dispatch/room_test.go
@@ -204,3 +204,39 @@
 		}
 	}
 }
+
+// Guards against late requests of the least urgency that wait until they are refused beside
+// ranks whose slots are half free: the slots that late requests leave free are kept once, of
+// all slots, and not once more of what more urgent requests leave.
+func TestLateRequestsLeaveSlotsOnce(t *testing.T) {
+	now := time.Now()
+	q := bySharedUse(now,
+		UrgencyUse{
+			Running:  40,
+			Arrivals: 30,
+		},
+		UrgencyUse{
+			Urgency:  relaxed,
+			Running:  140,
+			Arrivals: 260,
+		})
+	q.room.arrive(relaxed, now)
+	const slots, running = 4, 2
+	accepted := 0
+	for rank := range limitRanks {
+		state := &upstreamState{
+			phase:          float64(rank) / limitRanks,
+			slots:          slots,
+			reportedOthers: running,
+			reportedAt:     now,
+			slotQuota:      1,
+			yieldQuota:     1,
+		}
+		if state.accepts(q.tier(relaxed, now).allotment(state, &passRoom{}, 1, shiftSlots), true, now) {
+			accepted++
+		}
+	}
+	if accepted < limitRanks/2 {
+		t.Errorf("%d of %d ranks with %d of %d slots taken accept a late request, want at least half", accepted, limitRanks, running, slots)
+	}
+}
--- a/dispatch/upstreamstate.go
+++ b/dispatch/upstreamstate.go
@@ -181,12 +181,21 @@
 // accepts reports whether a rank may get a request with an allotment. A late request must
 // leave the lateReserve free.
 func (s *upstreamState) accepts(a allotment, late bool, now time.Time) bool {
-	if late && a.slots > 0 && s.load(now) > max(0, float64(a.slots)*(1-lateReserve)-1) {
+	if late && s.lateFull(now) {
 		return false
 	}
 	return !s.full(a, now) && s.reachable(now)
 }
 
+// lateFull reports whether all slots that late requests may use are estimated to be taken.
+func (s *upstreamState) lateFull(now time.Time) bool {
+	if s.slots == 0 {
+		return false
+	}
+	slots := max(1, int(float64(s.slots)*(1-lateReserve)+s.phase))
+	return s.load(now) > float64(slots)-1
+}
+
 // reachable reports whether a rank is neither silent nor slow.
 func (s *upstreamState) reachable(now time.Time) bool {
 	return !now.Before(s.silentUntil) && !now.Before(s.slowUntil)
