--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -38,7 +38,7 @@
 		place = q.tier(request.Urgency, now)
 	}
 	fastest := q.fastestPace(now)
-	q.heldBack = false
+	q.holds = holdCounts{}
 	order := newRandomOrder(len(ready))
 	for range ready {
 		u := &ready[order.next()]
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -16,17 +16,8 @@
 	request    Request
 	enqueuedAt time.Time
 	result     chan acquireResult
-	// held is the room in which the request was first held back, and heldSince that time.
-	held      RoomState
-	heldSince time.Time
-}
-
-// holdBack records that the request is held back.
-func (w *waiter) holdBack(room RoomState, now time.Time) {
-	if w.heldSince.IsZero() {
-		w.held = room
-		w.heldSince = now
-	}
+	// held is the room in which the request was first held back.
+	held RoomState
 }
 
 // acquireResult ends the wait of a request: with a reservation or with an error.
@@ -58,9 +49,9 @@
 	// circuit breaker kept it from at least one upstream. While it is set, the expected
 	// wait is unknown.
 	blocked bool
-	// heldBack reports that the waiter that was last tried was kept from a rank whose free
-	// slots are for more urgent requests.
-	heldBack bool
+	// holds counts the ranks with free slots that did not accept the waiter that was last
+	// tried.
+	holds holdCounts
 	// timer serves the queue at timerDue; nil if none is set.
 	timer    *time.Timer
 	timerDue time.Time
@@ -108,11 +99,12 @@
 
 // accepts reports whether a rank may get a request of a tier.
 func (q *queue) accepts(state *upstreamState, t tier, late bool, now time.Time) bool {
-	share, group := q.allowance(state.group), q.group(state.group)
-	if state.accepts(t.allotment(state, &group.passRoom, share, group.maxSlots), late, now) {
+	group := q.group(state.group)
+	a := t.allotment(state, &group.passRoom, q.allowance(state.group), group.maxSlots)
+	if state.accepts(a, late, now) {
 		return true
 	}
-	q.heldBack = q.heldBack || t.yields && state.accepts(tier{}.allotment(state, nil, share, group.maxSlots), late, now)
+	q.holds[q.holdCause(state, t, a, late, now)]++
 	return false
 }
 
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -37,9 +37,13 @@
 	Arrivals float64
 }
 
-// RoomState is the room in which a request was held back. Its zero value means that none was
-// kept from it for more urgent requests.
+// RoomState is the room in which a request was held back. Its zero value means that it was
+// not.
 type RoomState struct {
+	// Cause is what kept it from most of the ranks with free slots, and Free the number of
+	// free slots.
+	Cause HoldCause
+	Free  int
 	// Passes is the number of requests at each rank with which passes are short enough, as
 	// far as the request was kept to it; zero if it was not.
 	Passes float64
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -171,9 +171,7 @@
 			q.served.restart(now)
 		}
 		if reservation == nil {
-			if q.heldBack {
-				w.holdBack(q.roomState(q.tier(w.request.Urgency, now), now), now)
-			}
+			s.holdBack(q, w, now)
 			s.serveLater(q, max(wait, rescanInterval))
 			continue
 		}
--- a/explain/heldback_test.go
+++ b/explain/heldback_test.go
@@ -9,12 +9,20 @@
 func TestOutcomeNamesRoom(t *testing.T) {
 	lines := []Line{
 		{
-			Message: "request held back for more urgent ones",
+			Message: messageHeldBack,
 			fields: []field{
 				{
 					key:   "waited",
 					value: "0.25",
 				},
+				{
+					key:   "cause",
+					value: "reserve",
+				},
+				{
+					key:   "free",
+					value: "40",
+				},
 				{
 					key:   "reserved",
 					value: "1.5",
@@ -30,7 +38,7 @@
 		},
 	}
 	got := outcome(lines)
-	if !strings.Contains(got, "waited 250ms at the entry for more urgent ones: 1.5 slots") {
+	if !strings.Contains(got, "waited 250ms at the entry beside 40 free slots, because they were kept for more urgent requests: 1.5 slots") {
 		t.Errorf("the outcome does not tell why the request waited: %s", got)
 	}
 }
--- a/explain/outcome.go
+++ b/explain/outcome.go
@@ -63,20 +63,35 @@
 	return text
 }
 
-// heldBack says for how long and in which room the request was held back for more urgent
-// ones. It returns the empty text if it was not.
+// heldBack says what held the request back while ranks had free slots, and for how long. It
+// returns the empty text if nothing did.
 func heldBack(requestLines []Line) string {
 	for _, line := range requestLines {
-		if line.Message != "request held back for more urgent ones" {
+		if line.Message != messageHeldBack {
 			continue
 		}
-		return fmt.Sprintf("It waited %s at the entry for more urgent ones: %s slots of each rank were kept for those, "+
-			"and ranks took %s requests at most (0: no limit), by figures of all entries of %s before (0: its own).\n",
-			seconds(line, "waited"), line.Get("reserved"), line.Get("passes"), seconds(line, "age"))
+		return fmt.Sprintf("It waited %s at the entry beside %s free slots, because %s: %s slots of each rank were kept "+
+			"for more urgent requests, and ranks took %s requests at most (0: no limit), by figures of all entries of %s before (0: its own).\n",
+			seconds(line, "waited"), line.Get("free"), holdText(line.Get("cause")), line.Get("reserved"), line.Get("passes"), seconds(line, "age"))
 	}
 	return ""
 }
 
+// holdText describes a cause for which a request was held back.
+func holdText(cause string) string {
+	switch cause {
+	case "share":
+		return "its entry had used up its share of them"
+	case "reserve":
+		return "they were kept for more urgent requests"
+	case "passes":
+		return "more requests would have made passes too long"
+	case "late":
+		return "it was late and they were left to requests that could be on time"
+	}
+	return "of " + cause
+}
+
 // moves says for how long the request waited to go on after attempts that may have run. It
 // returns the empty text if there were none.
 func moves(requestLines []Line) string {
--- a/explain/summary.go
+++ b/explain/summary.go
@@ -55,18 +55,22 @@
 	outages, holds []interval
 	// groups holds what happened to each group.
 	groups groupTable
+	// heldBack holds the requests that were held back.
+	heldBack holdTable
 }
 
 // NewSummary returns the account of the requests whose ends are in lines.
 func NewSummary(lines []Line) *Summary {
 	s := &Summary{
-		rows:   make(map[cost]map[string]int),
-		groups: make(groupTable),
+		rows:     make(map[cost]map[string]int),
+		groups:   make(groupTable),
+		heldBack: make(holdTable),
 	}
 	s.findOutages(lines)
 	s.findHolds(lines)
 	for i := range lines {
 		s.groups.add(&lines[i])
+		s.heldBack.add(&lines[i])
 		if lines[i].Message == "request" {
 			s.add(&lines[i])
 		}
@@ -205,6 +209,10 @@
 	if err != nil {
 		return fmt.Errorf("write summary: %w", err)
 	}
+	err = s.heldBack.write(w)
+	if err != nil {
+		return err
+	}
 	return s.groups.write(w)
 }
 
--- a/explain/summary_test.go
+++ b/explain/summary_test.go
@@ -25,6 +25,9 @@
 ts=2026-01-01T00:00:08Z msg="group works again" instance=e1 service=models group=g0
 ts=2026-01-01T00:00:08.5Z msg=request instance=e1 route=draft status=200 reason=served events=9 waited=0 first=0.2 target=0.5 gap=2 allowed=0.15 took=4
 ts=2026-01-01T00:00:09Z msg=request instance=e1 route=draft status=503 reason=too-many-waiting events=0 waited=0.1 first=0 target=0.5 gap=0 allowed=0.15 took=0.1
+ts=2026-01-01T00:00:09Z msg="request held back" instance=e1 waited=0.3 cause=passes free=40
+ts=2026-01-01T00:00:09Z msg="request held back" instance=e1 waited=0.1 cause=passes free=20
+ts=2026-01-01T00:00:09Z msg="request held back" instance=e1 waited=0.2 cause=share free=7
 ts=2026-01-01T00:00:09Z msg=request instance=e1 route=draft status=503 reason=quarantined events=0 waited=0 first=0 target=0.5 gap=0 allowed=0.15 took=0
 ts=2026-01-01T00:00:09Z msg=request instance=e1 route=draft status=0 reason=caller-left events=0 waited=1.9 first=0 target=0.5 gap=0 allowed=0.15 took=2
 ts=2026-01-01T00:00:09Z msg=request instance=e1 route=draft status=0 reason=caller-left events=0 waited=0 first=0 target=0.5 gap=0 allowed=0.15 took=2
@@ -59,6 +62,10 @@
 1         0.071  served on time                                 draft: 1
 14        1.000  all                                            
 
+held back by  requests  mean wait  mean free slots
+passes        2         0.200 s    30
+share         1         0.200 s    7
+
 group  planners  shifts  maps  switches not done  held   broken
 g0     1         0       1     0                  0.2 s  1.0 s
 g1     1         1       0     1                  0.0 s  0.0 s
--- a/gateway/calllog.go
+++ b/gateway/calllog.go
@@ -29,7 +29,7 @@
 		zap.Error(err))
 }
 
-// logHeld logs the room in which the request was held back for more urgent ones, if it was.
+// logHeld logs what held the request back while ranks had free slots, if anything did.
 func (c *call) logHeld(reservation *dispatch.Reservation, err error, waited time.Duration) {
 	var held dispatch.RoomState
 	var overload *dispatch.OverloadError
@@ -39,14 +39,16 @@
 	case errors.As(err, &overload):
 		held = overload.Held
 	}
-	if held == (dispatch.RoomState{}) {
+	if held.Cause == dispatch.NotHeld {
 		return
 	}
-	heldBackTotal.Inc()
-	c.gateway.Log.Info("request held back for more urgent ones",
+	countHeldBack(held.Cause)
+	c.gateway.Log.Info("request held back",
 		zap.String("request", string(c.requestInfo.ID)),
 		zap.Int("urgency", c.urgency),
 		zap.Duration("waited", waited),
+		zap.Stringer("cause", held.Cause),
+		zap.Int("free", held.Free),
 		zap.Float64("passes", held.Passes),
 		zap.Float64("reserved", held.Reserved),
 		zap.Float64("share", held.Share),
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/foxtailstack/foxtailstack/dispatch"
 )
 
 // Metrics of the gateway. Label values are from fixed sets, so that the number of
@@ -13,9 +14,7 @@
 // the end of every request, failed ones included, and the time spent waiting for
 // reservations.
 var (
-	sendsTotal = metrics.NewCounter("foxtailstack_gateway_sends_total")
-	// heldBackTotal counts waits of requests that were held back for more urgent ones.
-	heldBackTotal          = metrics.NewCounter("foxtailstack_gateway_held_back_total")
+	sendsTotal             = metrics.NewCounter("foxtailstack_gateway_sends_total")
 	resumesTotal           = metrics.NewCounter("foxtailstack_gateway_resumes_total")
 	eventsTotal            = metrics.NewCounter("foxtailstack_gateway_events_total")
 	retriesGrantedTotal    = metrics.NewCounter("foxtailstack_gateway_retries_granted_total")
@@ -31,6 +30,13 @@
 	queueSeconds           = metrics.NewHistogram("foxtailstack_gateway_wait_seconds")
 )
 
+// countHeldBack counts a request that waited while ranks had free slots.
+func countHeldBack(cause dispatch.HoldCause) {
+	metrics.GetOrCreateCounter(
+		fmt.Sprintf("foxtailstack_gateway_held_back_total{cause=%q}", cause),
+	).Inc()
+}
+
 // countRequest updates the metrics at the end of a request.
 func countRequest(status int, reason endReason, timeToFirstByte, duration time.Duration) {
 	metrics.GetOrCreateCounter(
