--- a/dispatch/shift_test.go
+++ b/dispatch/shift_test.go
@@ -269,32 +269,28 @@
 // ranks above it take the free slots of the others from the quotas.
 func TestShiftsOfDemandHoldNothingBack(t *testing.T) {
 	const hold = 1350 * time.Millisecond // the time of a stream at a rank
-	tests := []struct {
-		ranks       int
-		urgentShare float64
-	}{
-		{129, 0.02},
-		{129, 0.1},
-		{129, 0.5},
-		{129, 0.9},
-		{24, 0.1},
-		{72, 0.1},
-		{300, 0.1},
+	tests := map[int][]float64{          // shares of urgent requests by the number of ranks
+		24:  {0.1},
+		72:  {0.1},
+		129: {0.02, 0.1, 0.5, 0.9},
+		300: {0.1},
 	}
-	for _, test := range tests {
-		t.Run(fmt.Sprintf("%d ranks, %.2f urgent", test.ranks, test.urgentShare), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				m := newShiftModel(test.ranks)
-				m.run(0.5*shiftSlots*float64(test.ranks)/hold.Seconds(), test.urgentShare)
-				got := m.onTime()
-				if got < shiftOnTime {
-					t.Errorf("%.3f of the requests are served on time, want at least %.2f", got, shiftOnTime)
-				}
-				t.Logf("%.3f on time; passes: %+v", got, m.entries[0].queue("").group("g0").passRoom.limit)
-				for _, s := range m.running {
-					s.reservation.Release(Report{})
-				}
+	for ranks, shares := range tests {
+		for _, share := range shares {
+			t.Run(fmt.Sprintf("%d ranks, %.2f urgent", ranks, share), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					m := newShiftModel(ranks)
+					m.run(0.5*shiftSlots*float64(ranks)/hold.Seconds(), share)
+					got := m.onTime()
+					t.Logf("%.3f on time", got)
+					if got < shiftOnTime {
+						t.Errorf("%.3f of the requests are served on time, want at least %.2f", got, shiftOnTime)
+					}
+					for _, s := range m.running {
+						s.reservation.Release(Report{})
+					}
+				})
 			})
-		})
+		}
 	}
 }
