--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -69,10 +69,10 @@
 	q.group(group).slotLimit.observeRunning(meanRunning(ready, ranks, all))
 	s.recordSpread(service, ready, ranks)
 	fewSlow := countSlow(ranks) <= len(ranks)/maxSlowDivisor
-	divider := newQuotaDivider(ownShare.allowance())
 	q.ranks = len(ready)
 	q.setRoomDemand(group, now)
-	lastTier := q.lastTier(now)
+	share := ownShare.allowance()
+	divider := newQuotaDivider(share, share*s.setSlots(q, group, ready, ranks, now))
 	order := newRandomOrder(len(ready))
 	for range ready {
 		u := ready[order.next()]
@@ -84,7 +84,6 @@
 			}
 			continue
 		}
-		state.group = group
 		state.slowdown = rank.Slowdown
 		s.setSilent(&u, time.Time{}, age)
 		slowUntil := time.Time{}
@@ -92,13 +91,45 @@
 			slowUntil = now.Add(loadTTL)
 		}
 		s.setSlow(&u, slowUntil, age)
-		state.slots = q.usableSlots(&u, state, true)
-		state.yieldSlots = lastTier.slots(state, &q.group(group).passRoom)
 		state.observeLoad(&rank.Load, observedAt, divider)
 		s.observeStatusLimit(&u, rank.Limit, age, now)
 	}
 }
 
+// setSlots sets how many slots of the ranks in a status requests may use, and the least urgent
+// ones. It returns the part of those free for the least urgent that they may take together.
+// The caller holds mu.
+func (s *Scheduler) setSlots(
+	q *queue,
+	group GroupName,
+	ready []route.Upstream,
+	ranks map[foxtailstack.Address]RankLoad,
+	now time.Time,
+) float64 {
+	lastTier := q.lastTier(now)
+	passes := &q.group(group).passRoom
+	free, requests, n := 0, 0, 0
+	for i := range ready {
+		u := &ready[i]
+		rank, ok := ranks[u.Address]
+		if !ok {
+			continue
+		}
+		state := s.upstream(u.Name)
+		state.group = group
+		state.slots = q.usableSlots(u, state, true)
+		state.yieldSlots = lastTier.slots(state, passes)
+		load := rank.Load.Running + rank.Load.Waiting
+		free += max(0, state.yieldSlots-load)
+		requests += load
+		n++
+	}
+	if free == 0 {
+		return 1
+	}
+	return min(1, passes.left(q.group(group).maxSlots, n, requests)/float64(free))
+}
+
 // countRequests returns the number of requests that this process had at the ranks at
 // a time, and the number that all entries had there. The caller holds mu.
 func (s *Scheduler) countRequests(
--- a/dispatch/inversion_test.go
+++ b/dispatch/inversion_test.go
@@ -145,11 +145,7 @@
 // ones, or earn less, in a burst of those, in one of their own, and in both at once; and
 // against a burst of less urgent requests that makes urgent ones late.
 func TestBurstsDoNotInvertUrgency(t *testing.T) {
-	bounds := PassBounds{
-		Base:        35 * time.Millisecond,
-		PerRequest:  2560 * time.Microsecond,
-		MaxEventGap: burstGap,
-	}
+	bounds := burstBounds
 	tests := map[string]time.Duration{ // the start of the urgent burst
 		"apart":       16 * time.Second,
 		"overlapping": 7 * time.Second,
--- a/dispatch/passroom.go
+++ b/dispatch/passroom.go
@@ -79,22 +79,28 @@
 	if len(p.passes) < minRoomPasses || bounds.MaxEventGap <= 0 || all <= 0 {
 		return
 	}
+	p.limit = p.bestLimit(bounds, slots)
+}
+
+// bestLimit returns the number of requests at each rank with which least is lost.
+func (p *passRoom) bestLimit(bounds PassBounds, slots int) float64 {
+	all := p.demand.urgent + p.demand.least
 	fixed := p.fixedTime(bounds)
 	maxPass := time.Duration(gapMargin * float64(bounds.MaxEventGap))
 	streamPasses := p.streamPasses()
-	leastLoss := math.Inf(1)
+	best, leastLoss := 0.0, math.Inf(1)
 	for step := range roomSteps + 1 {
 		fraction := minSlotFraction + (1-minSlotFraction)*float64(step)/roomSteps
 		limit := fraction * float64(slots)
 		running := min(limit, all)
 		late := p.lateFraction(running, fixed, maxPass, streamPasses)
-		urgent := min(running, demand.urgent)
+		urgent := min(running, p.demand.urgent)
 		loss := all - running + late*(urgent*urgentLateLoss+(running-urgent)*lateLoss)
 		if loss <= leastLoss {
-			leastLoss = loss
-			p.limit = limit
+			best, leastLoss = limit, loss
 		}
 	}
+	return best
 }
 
 // lateFraction returns the fraction of streams of a number of passes that would have met one
@@ -145,3 +151,10 @@
 	}
 	return min(slots, p.limit)
 }
+
+// left returns how many requests some ranks with a number of slots, which have some requests
+// together, may get of the least urgent ones. Unlike the slots of a rank, it counts what
+// others have too much: the length of a pass follows the requests of all ranks.
+func (p *passRoom) left(slots, ranks, requests int) float64 {
+	return max(0, p.requests(float64(slots))*float64(ranks)-float64(requests))
+}
--- a/dispatch/room_test.go
+++ b/dispatch/room_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/foxtailstack/foxtailstack"
+	"github.com/foxtailstack/foxtailstack/exchange"
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 )
@@ -132,39 +134,49 @@
 	}
 }
 
-// Guards against passes after a shift of demand that make urgent streams late because less
-// urgent requests fill all slots: the limit holds before such passes have come with all
-// slots in use, and does not count the usual passes.
-func TestPassRoomForeseesLongPasses(t *testing.T) {
-	bounds := PassBounds{
-		Base:        35 * time.Millisecond,
-		PerRequest:  2560 * time.Microsecond,
-		MaxEventGap: 120 * time.Millisecond,
-	}
-	const (
-		prompts     = 13 * time.Millisecond
-		usual       = 3000 * time.Microsecond
-		shifted     = 7500 * time.Microsecond
-		passesApart = 50
-	)
-	var p passRoom
+// The passes of a burst: what reading prompts and a request at each rank add, usually and after
+// a shift of demand.
+const (
+	burstPrompts     = 13 * time.Millisecond
+	burstUsualCost   = 3000 * time.Microsecond
+	burstShiftedCost = 7500 * time.Microsecond
+)
+
+// burstBounds are the bounds of the passes of a burst.
+var burstBounds = PassBounds{
+	Base:        35 * time.Millisecond,
+	PerRequest:  2560 * time.Microsecond,
+	MaxEventGap: burstGap,
+}
+
+// learnBurst lets a passRoom observe passes with few requests, some after shifts of demand.
+func learnBurst(p *passRoom) {
+	const passesApart = 50
 	for i := range 3 * passesApart {
 		running := 5.0
-		cost := usual
+		cost := burstUsualCost
 		if i%passesApart < 4 {
-			cost = shifted
+			cost = burstShiftedCost
 		}
-		p.observe(bounds.Base+prompts+time.Duration(running*float64(cost)), running, bounds, limitSlots)
+		p.observe(burstBounds.Base+burstPrompts+time.Duration(running*float64(cost)), running, burstBounds, limitSlots)
 	}
+}
+
+// Guards against passes after a shift of demand that make urgent streams late because less
+// urgent requests fill all slots: the limit holds before such passes have come with all
+// slots in use, and does not count the usual passes.
+func TestPassRoomForeseesLongPasses(t *testing.T) {
+	var p passRoom
+	learnBurst(&p)
 	p.setDemand(roomDemand{
 		urgent: 4,
 		least:  8,
 		hold:   2 * time.Second,
-	}, bounds, limitSlots)
+	}, burstBounds, limitSlots)
 	got := p.requests(limitSlots)
-	pass := bounds.Base + prompts + time.Duration(got*float64(shifted))
-	if pass > bounds.MaxEventGap {
-		t.Errorf("with %.1f requests at each rank a pass takes %s after a shift, want at most %s", got, pass, bounds.MaxEventGap)
+	pass := burstBounds.Base + burstPrompts + time.Duration(got*float64(burstShiftedCost))
+	if pass > burstBounds.MaxEventGap {
+		t.Errorf("with %.1f requests at each rank a pass takes %s after a shift, want at most %s", got, pass, burstBounds.MaxEventGap)
 	}
 	if got < limitSlots/2 {
 		t.Errorf("%.1f requests at each rank are allowed, want at least half the slots", got)
@@ -240,3 +252,56 @@
 		t.Errorf("%d of %d ranks with %d of %d slots taken accept a late request, want at least half", accepted, limitRanks, running, slots)
 	}
 }
+
+// Guards against a burst that makes passes too long although ranks keep to the limit by passes:
+// more urgent requests and other entries put some above it, and the least urgent ones fill the
+// others up to it. The length of a pass follows the requests of all ranks.
+func TestLeastUrgentKeepMeanOfRequests(t *testing.T) {
+	tests := map[string]struct {
+		loads [2]int // of every other rank
+		want  bool   // whether the least urgent may take slots
+	}{
+		"mean above the limit": {
+			loads: [2]int{10, 7},
+		},
+		"mean below the limit": {
+			loads: [2]int{8, 5},
+			want:  true,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := newShiftModel(limitRanks, limitSlots)
+			s := m.entries[0]
+			q := s.queue("")
+			group := q.group("g0")
+			group.slotLimit.bounds = burstBounds
+			group.maxSlots = limitSlots
+			learnBurst(&group.passRoom)
+			loads := make(map[foxtailstack.Address]RankLoad)
+			for i, u := range s.Fleet().Ready("") {
+				loads[u.Address] = RankLoad{Load: exchange.Load{Running: test.loads[i%2]}}
+			}
+			q.room.arrive(relaxed, time.Now())
+			s.ObserveUrgencyUse("", []UrgencyUse{
+				{
+					Running:  250,
+					Arrivals: 130,
+				},
+				{
+					Urgency:  relaxed,
+					Running:  300,
+					Arrivals: 320,
+				},
+			}, 0)
+			s.ObserveGroup("", "g0", loads, 0)
+			quota := 0
+			for _, state := range s.upstreams {
+				quota += state.yieldQuota
+			}
+			if got := quota > 0; got != test.want {
+				t.Errorf("the least urgent may take %d slots, want some: %t", quota, test.want)
+			}
+		})
+	}
+}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -119,7 +119,7 @@
 		q := s.queue(u.Service)
 		state.yieldSlots = q.lastTier(now).slots(state, &q.group(state.group).passRoom)
 	}
-	state.observeLoad(load, now, newQuotaDivider(fraction))
+	state.observeLoad(load, now, newQuotaDivider(fraction, fraction))
 }
 
 // FleetChanged drops the state of upstreams that have left the fleet and have no
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -107,11 +107,12 @@
 	yielding *slotDivider
 }
 
-// newQuotaDivider returns a divider for a fraction of the free slots.
-func newQuotaDivider(fraction float64) *quotaDivider {
+// newQuotaDivider returns a divider for a fraction of the free slots that all requests may use,
+// and one of those that the least urgent ones may.
+func newQuotaDivider(all, yielding float64) *quotaDivider {
 	return &quotaDivider{
-		all:      newSlotDivider(fraction),
-		yielding: newSlotDivider(fraction),
+		all:      newSlotDivider(all),
+		yielding: newSlotDivider(yielding),
 	}
 }
 
--- a/dispatch/shift_test.go
+++ b/dispatch/shift_test.go
@@ -21,7 +21,7 @@
 	shiftEvents        = 17
 	shiftInterval      = 3700 * time.Millisecond
 	shiftMapTime       = 940 * time.Millisecond
-	shiftHold          = 25 * time.Millisecond
+	shiftHold          = 15 * time.Millisecond
 	shiftUneven        = 2.8
 	shiftEven          = 1.2
 	shiftPrompts       = 8 * time.Millisecond
@@ -64,8 +64,8 @@
 	all     []*shiftStream
 }
 
-// newShiftModel returns a model of a group with a number of ranks.
-func newShiftModel(ranks int) *shiftModel {
+// newShiftModel returns a model of a group with a number of ranks and slots of each.
+func newShiftModel(ranks, slots int) *shiftModel {
 	m := &shiftModel{
 		rng:   rand.New(rand.NewPCG(uint64(ranks), 1)),
 		start: time.Now(),
@@ -76,7 +76,7 @@
 		u := route.Upstream{
 			Name:    foxtailstack.UpstreamName(fmt.Sprintf("u%d", i)),
 			Address: foxtailstack.Address(fmt.Sprintf("10.0.0.%d:1", i)),
-			Slots:   shiftSlots,
+			Slots:   slots,
 		}
 		upstreams = append(upstreams, u)
 		m.ranks[u.Address] = nil
@@ -279,7 +279,7 @@
 		for _, share := range shares {
 			t.Run(fmt.Sprintf("%d ranks, %.2f urgent", ranks, share), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					m := newShiftModel(ranks)
+					m := newShiftModel(ranks, shiftSlots)
 					m.run(0.5*shiftSlots*float64(ranks)/hold.Seconds(), share)
 					got := m.onTime()
 					t.Logf("%.3f on time", got)
