--- a/dispatch/shift_test.go
+++ b/dispatch/shift_test.go
@@ -275,6 +275,9 @@
 		129: {0.02, 0.1, 0.5, 0.9},
 		300: {0.1},
 	}
+	if testing.Short() {
+		delete(tests, 300) // minutes with the race detector
+	}
 	for ranks, shares := range tests {
 		for _, share := range shares {
 			t.Run(fmt.Sprintf("%d ranks, %.2f urgent", ranks, share), func(t *testing.T) {
