--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -124,10 +124,12 @@
 		requests += load
 		n++
 	}
-	if free == 0 {
+	left := passes.left(q.group(group).maxSlots, n, requests)
+	passes.binds = left < float64(free)
+	if !passes.binds {
 		return 1
 	}
-	return min(1, passes.left(q.group(group).maxSlots, n, requests)/float64(free))
+	return left / float64(free)
 }
 
 // countRequests returns the number of requests that this process had at the ranks at
--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -71,6 +71,8 @@
 		return HeldByReserve
 	case late && state.lateFull(now):
 		return HeldByLate
+	case t.least && group.passRoom.binds:
+		return HeldByPasses
 	}
 	return HeldByShare
 }
--- a/dispatch/passroom.go
+++ b/dispatch/passroom.go
@@ -53,6 +53,8 @@
 	// limit is the number of requests at each rank with which least is lost; zero if it is
 	// not known.
 	limit float64
+	// binds is set if the limit left the least urgent less than the free slots of ranks.
+	binds bool
 }
 
 // observe records the duration of a pass with a mean number of requests at each of the
@@ -128,7 +130,7 @@
 	for _, pass := range p.passes {
 		sum += pass.duration
 	}
-	return int(p.demand.hold * time.Duration(len(p.passes)) / sum)
+	return int(p.demand.hold * time.Duration(len(p.passes)) / max(1, sum))
 }
 
 // fixedTime returns the part of a pass that does not grow with the number of requests: its
