--- a/dispatch/inversion_test.go
+++ b/dispatch/inversion_test.go
@@ -72,6 +72,9 @@
 			continue
 		}
 		place := m.q.tier(w.request.Urgency, m.now)
+		if place.least && m.passes.left(limitSlots, limitRanks, len(m.running)) < 1 {
+			continue
+		}
 		for rank := range m.loads {
 			state := &upstreamState{phase: float64(rank) / limitRanks}
 			state.slots = m.slots.slots(limitSlots, state.phase)
--- a/dispatch/passroom.go
+++ b/dispatch/passroom.go
@@ -16,6 +16,9 @@
 	maxPassFactor = 2
 	// roomSteps is the number of limits that are compared.
 	roomSteps = 16
+	// roomMargin is the fraction of the allowed gap between events that a pass may take. The
+	// mean of requests is kept, so that less is left than for a slotLimit.
+	roomMargin = 0.97
 	// lateLoss is what a late response to a request of the least urgency loses; a refused one
 	// loses all. urgentLateLoss is the same for more urgent requests, which are not to be late
 	// for others.
@@ -88,7 +91,7 @@
 func (p *passRoom) bestLimit(bounds PassBounds, slots int) float64 {
 	all := p.demand.urgent + p.demand.least
 	fixed := p.fixedTime(bounds)
-	maxPass := time.Duration(gapMargin * float64(bounds.MaxEventGap))
+	maxPass := time.Duration(roomMargin * float64(bounds.MaxEventGap))
 	streamPasses := p.streamPasses()
 	best, leastLoss := 0.0, math.Inf(1)
 	for step := range roomSteps + 1 {
