--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -35,13 +35,15 @@
 	Record *Record
 	Store  *Store
 
-	born     int64
-	address  string
+	born    int64
+	address string
+	running atomic.Int64
+	leaving atomic.Bool
+	starts  int
+
+	mu       sync.Mutex
 	server   *http.Server
-	running  atomic.Int64
-	leaving  atomic.Bool
 	ended    chan struct{}
-	mu       sync.Mutex
 	arrivals []*Arrival
 }
 
@@ -55,12 +57,57 @@
 		return err
 	}
 	w.address = listener.Addr().String()
+	w.serve(listener)
+	return nil
+}
+
+// serve begins a lifetime of the worker.
+func (w *Worker) serve(listener net.Listener) {
+	w.mu.Lock()
 	w.born = time.Now().UnixMilli()
 	w.ended = make(chan struct{})
 	w.server = &http.Server{Handler: w}
-	go func() { _ = w.server.Serve(listener) }()
+	server := w.server
+	w.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
 	w.Register("ready")
-	return nil
+}
+
+// end returns what is closed as the present lifetime ends.
+func (w *Worker) end() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ended
+}
+
+// Crash ends the worker without a word. After a time it is back at its address, with a new ID.
+// Its entry lapses after three heartbeat intervals of silence.
+func (w *Worker) Crash(downtime time.Duration) {
+	w.mu.Lock()
+	select {
+	case <-w.ended:
+		w.mu.Unlock()
+		return // it has crashed already
+	default:
+	}
+	close(w.ended)
+	server, id := w.server, w.ID
+	w.mu.Unlock()
+	_ = server.Close()
+	w.Record.Add("crashed", "worker", id)
+	time.AfterFunc(3*heartbeat, func() { w.Store.Remove(tableServers, id) })
+	time.AfterFunc(downtime, func() {
+		listener, err := net.Listen("tcp", w.address)
+		if err != nil {
+			w.Record.Add("not-back", "worker", id, "err", err)
+			return
+		}
+		w.mu.Lock()
+		w.starts++
+		w.ID = fmt.Sprintf("%s-%d", id[:4], w.starts)
+		w.mu.Unlock()
+		w.serve(listener)
+	})
 }
 
 // Register writes the entry of the worker.
@@ -88,8 +135,11 @@
 // End ends the worker: its channels close, and what it runs is cut.
 func (w *Worker) End() {
 	w.Record.Add("ends", "worker", w.ID, "running", w.running.Load())
+	w.mu.Lock()
 	close(w.ended)
-	_ = w.server.Close()
+	server := w.server
+	w.mu.Unlock()
+	_ = server.Close()
 }
 
 // Arrivals returns the requests that reached the worker.
@@ -164,7 +214,7 @@
 func (w *Worker) plainWork(out http.ResponseWriter, id string, a *Arrival) {
 	select {
 	case <-time.After(workTime):
-	case <-w.ended:
+	case <-w.end():
 		w.mu.Lock()
 		a.Cut = true
 		w.mu.Unlock()
