Show that a part which crashes workers after the first event is never quarantined

The first event of an answer clears the parts of its request at all entries, and a crash after it is recorded under none of them.

--- a/review/rig-2/case_parts.go
+++ b/review/rig-2/case_parts.go
@@ -9,13 +9,12 @@
 )
 
 func init() {
-	cases["parts"] = playParts
+	cases["parts-begun"] = func(c *Case) (bool, error) { return playParts(c, 2, true) }
+	cases["parts-long"] = func(c *Case) (bool, error) { return playParts(c, 16, false) }
 }
 
 // Parts of prompts, and times of the case.
 const (
-	// soundParts is the number of parts that all requests share.
-	soundParts = 16
 	// deadlyPart crashes each worker that begins to write an answer on it; otherPart stands in
 	// its place in sound requests.
 	deadlyPart = "dead0001"
@@ -26,6 +25,8 @@
 	partPieces = 8
 	partGap    = 50 * time.Millisecond
 	downtime   = 3 * time.Second
+	// crashDelay is the time from the first event to the crash.
+	crashDelay = 20 * time.Millisecond
 	partsTime  = 45 * time.Second
 	soundEach  = 80 * time.Millisecond
 	deadlyEach = 700 * time.Millisecond
@@ -35,23 +36,25 @@
 	crashesToJudge = 5
 )
 
-// partsOf returns the parts of a prompt, the part in question and a last one of its own.
-func partsOf(part, id string) string {
+// partsOf returns the parts of a prompt: a number that all prompts share, the part in question
+// and a last one of its own.
+func partsOf(shared int, part, id string) string {
 	var b strings.Builder
-	for i := range soundParts {
+	for i := range shared {
 		fmt.Fprintf(&b, "5a%06x:40,", i)
 	}
 	fmt.Fprintf(&b, "%s:40,%s:200", part, id)
 	return b.String()
 }
 
-// deadlyWork answers with a stream. If the prompt holds the deadly part it calls crash instead,
-// unless that is nil.
-func deadlyWork(w *Worker, crash func()) func(http.ResponseWriter, *http.Request) {
+// deadlyWork answers with a stream. If the prompt holds the deadly part it calls crash before the
+// first event or, if begun is set, crashDelay after it. crash may be nil.
+func deadlyWork(w *Worker, begun bool, crash func()) func(http.ResponseWriter, *http.Request) {
 	return func(out http.ResponseWriter, r *http.Request) {
 		id, end := r.Header.Get("Request-Id"), w.end()
+		deadly := crash != nil && strings.Contains(r.Header.Get("Prefix-Hash"), deadlyPart)
 		time.Sleep(readTime)
-		if crash != nil && strings.Contains(r.Header.Get("Prefix-Hash"), deadlyPart) {
+		if deadly && !begun {
 			crash()
 		}
 		out.Header().Set("Content-Type", "text/event-stream")
@@ -67,6 +70,10 @@
 			}
 			fmt.Fprintf(out, "id: %d\ndata: piece %d of %s\n\n", i+1, i+1, id)
 			_ = flush.Flush()
+			if deadly && begun && i == 0 {
+				time.Sleep(crashDelay)
+				crash()
+			}
 		}
 	}
 }
@@ -84,8 +91,9 @@
 	c.times = append(c.times, time.Now())
 }
 
-// playParts lets one part of long prompts crash each worker that begins to answer it.
-func playParts(c *Case) (bool, error) {
+// playParts lets one part of prompts, after a number of others that all prompts share, crash each
+// worker that begins to write an answer on it: before the first event or right after it.
+func playParts(c *Case, shared int, begun bool) (bool, error) {
 	c.putConfig(1)
 	crashes := &crashTimes{}
 	for i := range 6 {
@@ -100,7 +108,7 @@
 		if !c.Trouble {
 			crash = nil // the part does no harm
 		}
-		w.Work = deadlyWork(w, crash)
+		w.Work = deadlyWork(w, begun, crash)
 		err := c.addWorker(w)
 		if err != nil {
 			return false, err
@@ -118,7 +126,7 @@
 	var sound []*Call
 	send := func(e *Entry, part string) {
 		call := newCall(e, http.MethodPost, pathDraft+"note", 8*time.Second)
-		call.Extra = fmt.Sprintf("Model: m\r\nToken-Usage: 880,40\r\nPrefix-Hash: %s\r\n", partsOf(part, call.ID))
+		call.Extra = fmt.Sprintf("Model: m\r\nToken-Usage: 880,40\r\nPrefix-Hash: %s\r\n", partsOf(shared, part, call.ID))
 		mu.Lock()
 		if part == deadlyPart {
 			deadly[call.ID] = call
