--- a/review/rig-2/case_parts.go
+++ b/review/rig-2/case_parts.go
@@ -19,15 +19,13 @@
 	// its place in sound requests.
 	deadlyPart = "dead0001"
 	otherPart  = "50a9d001"
-	// readTime is how long a worker reads a prompt before it begins to write.
-	readTime = 60 * time.Millisecond
-	// partPieces and partGap are the number of events of an answer and the pause between them.
+	// partRanks is the number of ranks, partPieces that of the events of an answer.
+	partRanks  = 6
 	partPieces = 8
-	partGap    = 50 * time.Millisecond
 	downtime   = 3 * time.Second
 	// crashDelay is the time from the first event to the crash.
 	crashDelay = 20 * time.Millisecond
-	partsTime  = 45 * time.Second
+	partsTime  = 80 * time.Second
 	soundEach  = 80 * time.Millisecond
 	deadlyEach = 700 * time.Millisecond
 	// partsAllowed is the number of requests with the part that may reach workers later than
@@ -47,33 +45,19 @@
 	return b.String()
 }
 
-// deadlyWork answers with a stream. If the prompt holds the deadly part it calls crash before the
-// first event or, if begun is set, crashDelay after it. crash may be nil.
-func deadlyWork(w *Worker, begun bool, crash func()) func(http.ResponseWriter, *http.Request) {
-	return func(out http.ResponseWriter, r *http.Request) {
-		id, end := r.Header.Get("Request-Id"), w.end()
-		deadly := crash != nil && strings.Contains(r.Header.Get("Prefix-Hash"), deadlyPart)
-		time.Sleep(readTime)
-		if deadly && !begun {
-			crash()
+// deadlyWrite returns what a rank does before it writes an event: if the prompt holds the deadly
+// part it calls crash before the first event or, if begun is set, crashDelay after it.
+func deadlyWrite(begun bool, crash func(r *Rank)) func(r *Rank, request *http.Request, event int) {
+	return func(r *Rank, request *http.Request, event int) {
+		if !strings.Contains(request.Header.Get("Prefix-Hash"), deadlyPart) {
+			return
 		}
-		out.Header().Set("Content-Type", "text/event-stream")
-		flush := http.NewResponseController(out)
-		for i := range partPieces {
-			select {
-			case <-time.After(partGap):
-			case <-end:
-				w.Record.Add("cut", "worker", w.ID, "request", id, "events", i)
-				panic(http.ErrAbortHandler)
-			case <-r.Context().Done():
-				return
-			}
-			fmt.Fprintf(out, "id: %d\ndata: piece %d of %s\n\n", i+1, i+1, id)
-			_ = flush.Flush()
-			if deadly && begun && i == 0 {
-				time.Sleep(crashDelay)
-				crash()
-			}
+		switch {
+		case !begun && event == 1:
+			crash(r)
+		case begun && event == 2:
+			time.Sleep(crashDelay)
+			crash(r)
 		}
 	}
 }
@@ -96,29 +80,34 @@
 func playParts(c *Case, shared int, begun bool) (bool, error) {
 	c.putConfig(1)
 	crashes := &crashTimes{}
-	for i := range 6 {
-		w := &Worker{
-			ID:      fmt.Sprintf("i-0%c", 'a'+i),
-			Service: serviceLedger,
-		}
-		crash := func() {
+	crash := func(r *Rank) {
+		if c.Trouble && r.Crash(downtime) {
 			crashes.add()
-			w.Crash(downtime)
 		}
-		if !c.Trouble {
-			crash = nil // the part does no harm
-		}
-		w.Work = deadlyWork(w, begun, crash)
-		err := c.addWorker(w)
+	}
+	group := &Group{
+		Record: c.Record,
+		Store:  c.Store,
+	}
+	var hosts []string
+	for i := range partRanks {
+		hosts = append(hosts, c.host(100+i))
+	}
+	err := group.Start(hosts, deadlyWrite(begun, crash))
+	if err != nil {
+		return false, err
+	}
+	for _, r := range group.Ranks {
+		err = c.startSidecar(r)
 		if err != nil {
 			return false, err
 		}
 	}
-	err := c.start(3)
+	err = c.start(3)
 	if err != nil {
 		return false, err
 	}
-	time.Sleep(time.Second)
+	time.Sleep(3 * time.Second)
 	began := time.Now()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -146,11 +135,11 @@
 	time.Sleep(2 * time.Second)
 	wg.Go(func() { press(deadlyPart, deadlyEach) })
 	wg.Wait()
-	return c.judgeParts(deadly, sound, crashes.times), nil
+	return c.judgeParts(group, deadly, sound, crashes.times), nil
 }
 
 // judgeParts judges the rule BUDGET about parts that crash workers.
-func (c *Case) judgeParts(deadly map[string]*Call, sound []*Call, crashes []time.Time) bool {
+func (c *Case) judgeParts(group *Group, deadly map[string]*Call, sound []*Call, crashes []time.Time) bool {
 	whole := 0
 	for _, call := range sound {
 		if call.Whole && call.Status == http.StatusOK {
@@ -160,8 +149,8 @@
 	reached := 0
 	if len(crashes) >= crashesToJudge {
 		from := crashes[crashesToJudge-1].Add(contactTime)
-		for _, w := range c.Workers {
-			for _, a := range w.Arrivals() {
+		for _, r := range group.Ranks {
+			for _, a := range r.arrivals {
 				call, ok := deadly[a.ID]
 				if ok && call.Sent.After(from) && a.At.After(from) {
 					reached++
--- a/review/rig-2/case_restored.go
+++ b/review/rig-2/case_restored.go
@@ -15,7 +15,7 @@
 	restoredAwayAt  = 4 * time.Second
 	restoredBackAt  = 5 * time.Second
 	restoredCallsAt = restoredBackAt + contactTime + 50*time.Millisecond
-	restoredEndAt   = restoredCallsAt + 60*time.Millisecond
+	restoredEndAt   = restoredCallsAt + 110*time.Millisecond
 	// restoredLapse is when the entry of the worker that has left is removed again: nobody has
 	// written there for three heartbeat intervals.
 	restoredLapse   = restoredBackAt + 3*heartbeat
--- a/review/rig-2/case_silent.go
+++ b/review/rig-2/case_silent.go
@@ -17,7 +17,7 @@
 	silentCallsAt = contactTime + 50*time.Millisecond
 	// silentEndAt is half a second more than the drain time after the worker has reported that it
 	// drains.
-	silentEndAt   = silentDrainAt + drainTime + 510*time.Millisecond
+	silentEndAt   = silentDrainAt + drainTime + 560*time.Millisecond
 	silentCallEnd = contactTime + 800*time.Millisecond
 	silentCallGap = 25 * time.Millisecond
 )
--- a/review/rig-2/entry.go
+++ b/review/rig-2/entry.go
@@ -21,17 +21,22 @@
 	heartbeat   = 1200 * time.Millisecond
 )
 
-// Entry is an entry of foxtailstack, a process of its own.
-type Entry struct {
-	Name    string
-	Callers string
-	Ready   string
-	Store   *StoreListener
+// Process is a process of foxtailstack.
+type Process struct {
+	Name  string
+	Store *StoreListener
 
 	cmd  *exec.Cmd
 	done chan struct{}
 }
 
+// Entry is an entry of foxtailstack.
+type Entry struct {
+	*Process
+	Callers string
+	Ready   string
+}
+
 // freePorts returns n ports that are free on a host, in ascending order.
 func freePorts(host string, n int) ([]int, error) {
 	var ports []int
@@ -47,16 +52,31 @@
 	return ports, nil
 }
 
-// settingsText is the settings file of an entry. The values are those of DEPLOY.md but for
-// names and addresses.
-const settingsText = `nodeName = %[1]q
-role = "entry"
+// Parts of settings files that differ between machines: those of entries and of sidecars.
+const (
+	entrySettings = `role = "entry"
 machineClass = "front"
 serves = ["front"]
+`
+	sidecarSettings = `role = "sidecar"
+machineClass = "side"
+serves = ["side"]
+app = %q
+service = %q
+`
+	listenSettings = `[listen]
+front = %q
+ready = %q
+`
+)
+
+// settingsText is a settings file. The values are those of DEPLOY.md but for names and addresses.
+const settingsText = `nodeName = %[1]q
 ip = %[2]q
 zone = "cph-a"
 region = "dk-east"
-portRange = [%[5]d,%[6]d]
+portRange = [%[3]d,%[4]d]
+%[5]s
 seeds = []
 bootstrap = true
 lossCounts = false
@@ -68,13 +88,10 @@
 cph-a = "dk-east"
 cph-b = "dk-east"
 roskilde = "dk-east"
-[listen]
-front = %[3]q
-ready = %[4]q
-[limits]
+%[6]s[limits]
 cpuShare = 0.304
 cpuCores = 1
-memoryMb = 284
+memoryMb = %[7]d
 maxFds = 4100
 linkMbps = 1000.0
 diskMb = 0
@@ -105,7 +122,7 @@
 stall_ms = 1500
 requireFencing = true
 [platform]
-address = %[7]q
+address = %[8]q
 form = "table"
 writesPerS = 400
 readsPerS = 2000
@@ -119,55 +136,88 @@
 blobMbPerS = 80.0
 `
 
+// Memory of the machines in MB.
+const (
+	frontMemory = 284
+	sideMemory  = 152
+)
+
 // startEntry starts an entry with the command of the deploy file.
 func (c *Case) startEntry(i int) (*Entry, error) {
 	host := c.host(10 + i)
-	store, err := c.Store.Listen(c.host(2), fmt.Sprintf("entry-%d", i))
-	if err != nil {
-		return nil, err
-	}
-	ports, err := freePorts(host, 4)
+	ports, err := freePorts(host, 2)
 	if err != nil {
 		return nil, err
 	}
 	e := &Entry{
-		Name:    fmt.Sprintf("entry-%d", i),
 		Callers: net.JoinHostPort(host, fmt.Sprint(ports[0])),
 		Ready:   net.JoinHostPort(host, fmt.Sprint(ports[1])),
-		Store:   store,
-		done:    make(chan struct{}),
 	}
-	text := fmt.Sprintf(settingsText, e.Name, host, e.Callers, e.Ready, ports[2], ports[3], store.Addr().String())
-	settings := filepath.Join(c.dir, e.Name+".toml")
+	e.Process, err = c.startProcess("entry", fmt.Sprintf("entry-%d", i), host, frontMemory,
+		entrySettings, fmt.Sprintf(listenSettings, e.Callers, e.Ready))
+	return e, err
+}
+
+// startSidecar starts the sidecar beside a rank with the command of the deploy file.
+func (c *Case) startSidecar(r *Rank) error {
+	host, _, err := net.SplitHostPort(r.address)
+	if err != nil {
+		return err
+	}
+	p, err := c.startProcess("sidecar", fmt.Sprintf("sidecar-%d", r.Index), host, sideMemory,
+		fmt.Sprintf(sidecarSettings, r.address, serviceDraft), "[listen]\n")
+	if err == nil {
+		c.sidecars = append(c.sidecars, p)
+	}
+	return err
+}
+
+// startProcess starts a process of a role.
+func (c *Case) startProcess(role, name, host string, memory int, top, listen string) (*Process, error) {
+	command, err := roleCommand(c.root, role)
+	if err != nil {
+		return nil, err
+	}
+	store, err := c.Store.Listen(c.host(2), name)
+	if err != nil {
+		return nil, err
+	}
+	text := fmt.Sprintf(settingsText, name, host, c.peerPorts[0], c.peerPorts[1], top, listen, memory, store.Addr().String())
+	settings := filepath.Join(c.dir, name+".toml")
 	err = os.WriteFile(settings, []byte(text), 0o600)
 	if err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(c.dir, e.Name+".log"))
+	log, err := os.Create(filepath.Join(c.dir, name+".log"))
 	if err != nil {
 		return nil, err
 	}
-	words := strings.Fields(c.command)
-	e.cmd = exec.Command(words[0], words[1:]...)
-	e.cmd.Dir = c.root
-	e.cmd.Env = append(os.Environ(), "FOXTAILSTACK_SETTINGS="+settings)
-	e.cmd.Stdout = log
-	e.cmd.Stderr = log
-	err = e.cmd.Start()
+	p := &Process{
+		Name:  name,
+		Store: store,
+		done:  make(chan struct{}),
+	}
+	words := strings.Fields(command)
+	p.cmd = exec.Command(words[0], words[1:]...)
+	p.cmd.Dir = c.root
+	p.cmd.Env = append(os.Environ(), "FOXTAILSTACK_SETTINGS="+settings)
+	p.cmd.Stdout = log
+	p.cmd.Stderr = log
+	err = p.cmd.Start()
 	if err != nil {
 		return nil, err
 	}
 	go func() {
-		_ = e.cmd.Wait()
+		_ = p.cmd.Wait()
 		_ = log.Close()
-		close(e.done)
+		close(p.done)
 	}()
-	return e, nil
+	return p, nil
 }
 
 // signal sends a signal to the process.
-func (e *Entry) signal(sig syscall.Signal) {
-	_ = e.cmd.Process.Signal(sig) // it may have ended
+func (p *Process) signal(sig syscall.Signal) {
+	_ = p.cmd.Process.Signal(sig) // it may have ended
 }
 
 // isReady reports whether the entry says that it is ready.
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -27,10 +26,13 @@
 	// Trouble is set unless the disruption is left out.
 	Trouble bool
 
-	// root is the root of the repository, command the command of the role that takes callers,
-	// dir a temporary folder and net the second and the third byte of all addresses.
-	root, command, dir string
-	net                [2]int
+	// root is the root of the repository, dir a temporary folder and net the second and the
+	// third byte of all addresses.
+	root, dir string
+	net       [2]int
+	// peerPorts are the ports for communication between nodes, the same on all machines.
+	peerPorts []int
+	sidecars  []*Process
 }
 
 // cases holds the cases by their numbers. Each returns whether the rule was broken.
@@ -41,27 +43,23 @@
 	return fmt.Sprintf("127.%d.%d.%d", c.net[0], c.net[1], i+1)
 }
 
-// entryCommand returns the command of the role "entry" in the deploy file.
-func entryCommand(root string) (string, error) {
+// roleCommand returns the command of a role in the deploy file.
+func roleCommand(root, role string) (string, error) {
 	data, err := os.ReadFile(filepath.Join(root, "deploy", "system.toml"))
 	if err != nil {
 		return "", err
 	}
-	_, role, _ := strings.Cut(string(data), "[roles.entry]")
-	_, run, found := strings.Cut(role, `run = "`)
+	_, section, _ := strings.Cut(string(data), "[roles."+role+"]")
+	_, run, found := strings.Cut(section, `run = "`)
 	command, _, ended := strings.Cut(run, `"`)
 	if !found || !ended {
-		return "", errors.New("deploy/system.toml has no command of the role entry")
+		return "", fmt.Errorf("deploy/system.toml has no command of the role %s", role)
 	}
 	return command, nil
 }
 
 // newCase returns a case that writes its record to a folder.
 func newCase(root, folder string) (*Case, error) {
-	command, err := entryCommand(root)
-	if err != nil {
-		return nil, err
-	}
 	record, err := newRecord(filepath.Join(folder, "record.txt"))
 	if err != nil {
 		return nil, err
@@ -70,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Case{
+	c := &Case{
 		Store: &Store{
 			Record: record,
 			began:  time.Now(),
@@ -79,10 +77,11 @@
 		Record:  record,
 		Trouble: os.Getenv("TROUBLE") != "0",
 		root:    root,
-		command: command,
 		dir:     dir,
 		net:     [2]int{64 + rand.IntN(120), rand.IntN(250)},
-	}, nil
+	}
+	c.peerPorts, err = freePorts(c.host(1), 2)
+	return c, err
 }
 
 // start starts entries and waits until all are ready.
@@ -90,7 +89,7 @@
 	for i := range entries {
 		e, err := c.startEntry(i)
 		if err != nil {
-			return err
+			return err // what was started before ends with the case
 		}
 		c.Entries = append(c.Entries, e)
 	}
@@ -117,10 +116,14 @@
 
 // stop ends the processes that the case started, and removes the temporary folder.
 func (c *Case) stop() {
+	processes := c.sidecars
 	for _, e := range c.Entries {
-		e.signal(syscall.SIGCONT)
-		e.signal(syscall.SIGKILL)
-		<-e.done
+		processes = append(processes, e.Process)
+	}
+	for _, p := range processes {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-p.done
 	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(c.dir)
