Judge LOST beside BUDGET in the cases about deadly parts

In case 7 the entries either go on sending such requests or refuse the sound ones beside them, so it is judged by LOST.

--- a/review/rig-2/case_parts.go
+++ b/review/rig-2/case_parts.go
@@ -9,8 +9,14 @@
 )
 
 func init() {
-	cases["parts-begun"] = func(c *Case) (bool, error) { return playParts(c, 2, true) }
-	cases["parts-long"] = func(c *Case) (bool, error) { return playParts(c, 16, false) }
+	cases["parts-begun"] = func(c *Case) (bool, error) {
+		result, err := playParts(c, 2, true)
+		return result.overBudget(), err
+	}
+	cases["parts-long"] = func(c *Case) (bool, error) {
+		result, err := playParts(c, 16, false)
+		return result.lost(), err
+	}
 }
 
 // Parts of prompts, and times of the case.
@@ -32,6 +38,10 @@
 	// contactMs after the crash of crashesToJudge.
 	partsAllowed   = 3
 	crashesToJudge = 5
+	// soundToJudge is the number of sound requests that are needed to judge, and calmBefore the
+	// time before the first request with the part comes.
+	soundToJudge = 20
+	calmBefore   = 5 * time.Second
 )
 
 // partsOf returns the parts of a prompt: a number that all prompts share, the part in question
@@ -77,7 +87,7 @@
 
 // playParts lets one part of prompts, after a number of others that all prompts share, crash each
 // worker that begins to write an answer on it: before the first event or right after it.
-func playParts(c *Case, shared int, begun bool) (bool, error) {
+func playParts(c *Case, shared int, begun bool) (partsResult, error) {
 	c.putConfig(1)
 	crashes := &crashTimes{}
 	crash := func(r *Rank) {
@@ -95,17 +105,17 @@
 	}
 	err := group.Start(hosts, deadlyWrite(begun, crash))
 	if err != nil {
-		return false, err
+		return partsResult{}, err
 	}
 	for _, r := range group.Ranks {
 		err = c.startSidecar(r)
 		if err != nil {
-			return false, err
+			return partsResult{}, err
 		}
 	}
 	err = c.start(3)
 	if err != nil {
-		return false, err
+		return partsResult{}, err
 	}
 	time.Sleep(3 * time.Second)
 	began := time.Now()
@@ -132,33 +142,86 @@
 		}
 	}
 	wg.Go(func() { press(otherPart, soundEach) })
-	time.Sleep(2 * time.Second)
+	time.Sleep(calmBefore)
 	wg.Go(func() { press(deadlyPart, deadlyEach) })
 	wg.Wait()
-	return c.judgeParts(group, deadly, sound, crashes.times), nil
+	return c.judgeParts(group, deadly, sound, crashes.times, began.Add(calmBefore)), nil
+}
+
+// share counts sound requests and those of them that began at the first attempt.
+type share struct {
+	sent, begun int
+}
+
+// add counts a request.
+func (s *share) add(call *Call) {
+	s.sent++
+	if strings.Contains(call.Body, "data:") {
+		s.begun++
+	}
+}
+
+// partsResult is what was seen in a run of a case about parts.
+type partsResult struct {
+	crashes int
+	// late is the number of requests with the part that reached ranks, sent later than contactMs
+	// after the fifth crash.
+	late int
+	// before counts the sound requests before those with the part came, after the ones from
+	// 2 x contactMs after the fifth crash, or the last, while those came.
+	before, after share
 }
 
-// judgeParts judges the rule BUDGET about parts that crash workers.
-func (c *Case) judgeParts(group *Group, deadly map[string]*Call, sound []*Call, crashes []time.Time) bool {
+// overBudget reports whether the rule BUDGET about parts that crash workers is broken.
+func (r partsResult) overBudget() bool {
+	return r.late > partsAllowed
+}
+
+// lost reports whether the rule LOST about them is broken: sound requests with the same key and
+// first part begin less than half as often as before.
+func (r partsResult) lost() bool {
+	return r.crashes > 0 && r.before.sent >= soundToJudge && r.after.sent >= soundToJudge &&
+		2*r.after.begun*r.before.sent < r.before.begun*r.after.sent
+}
+
+// judgeParts counts what the rules about parts that crash workers are about. from is when the
+// requests with the part began to come.
+func (c *Case) judgeParts(group *Group, deadly map[string]*Call, sound []*Call, crashes []time.Time, from time.Time) partsResult {
+	result := partsResult{crashes: len(crashes)}
+	last := time.Time{}
+	for _, call := range deadly {
+		if call.Sent.After(last) {
+			last = call.Sent
+		}
+	}
+	judged := last
+	if len(crashes) > 0 {
+		judged = crashes[min(len(crashes), crashesToJudge)-1].Add(2 * contactTime)
+	}
 	whole := 0
 	for _, call := range sound {
 		if call.Whole && call.Status == http.StatusOK {
 			whole++
 		}
+		switch {
+		case call.Sent.Before(from.Add(-time.Second)): // what ends before the others come
+			result.before.add(call)
+		case call.Sent.After(judged) && call.Sent.Before(last):
+			result.after.add(call)
+		}
 	}
-	reached := 0
 	if len(crashes) >= crashesToJudge {
-		from := crashes[crashesToJudge-1].Add(contactTime)
+		bound := crashes[crashesToJudge-1].Add(contactTime)
 		for _, r := range group.Ranks {
 			for _, a := range r.arrivals {
 				call, ok := deadly[a.ID]
-				if ok && call.Sent.After(from) && a.At.After(from) {
-					reached++
+				if ok && call.Sent.After(bound) && a.At.After(bound) {
+					result.late++
 				}
 			}
 		}
 	}
-	c.Record.Say(fmt.Sprintf("requests with the part: %d; crashes: %d; that reached workers later than contactMs after the fifth: %d; sound requests answered whole: %d of %d",
-		len(deadly), len(crashes), reached, whole, len(sound)))
-	return reached > partsAllowed
+	c.Record.Say(fmt.Sprintf("requests with the part: %d; crashes: %d; that reached ranks, sent later than contactMs after the fifth: %d; sound requests that began, before: %d of %d, from 2 x contactMs after the fifth or last crash: %d of %d; answered whole in all: %d of %d",
+		len(deadly), len(crashes), result.late, result.before.begun, result.before.sent, result.after.begun, result.after.sent, whole, len(sound)))
+	return result
 }
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -145,6 +146,13 @@
 		return exitNotRun
 	}
 	defer c.stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		c.stop()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := play(c)
 	if err != nil {
 		c.Record.Say("case not run: " + err.Error())
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -39,7 +39,6 @@
 	address string
 	running atomic.Int64
 	leaving atomic.Bool
-	starts  int
 
 	mu       sync.Mutex
 	server   *http.Server
@@ -80,36 +79,6 @@
 	return w.ended
 }
 
-// Crash ends the worker without a word. After a time it is back at its address, with a new ID.
-// Its entry lapses after three heartbeat intervals of silence.
-func (w *Worker) Crash(downtime time.Duration) {
-	w.mu.Lock()
-	select {
-	case <-w.ended:
-		w.mu.Unlock()
-		return // it has crashed already
-	default:
-	}
-	close(w.ended)
-	server, id := w.server, w.ID
-	w.mu.Unlock()
-	_ = server.Close()
-	w.Record.Add("crashed", "worker", id)
-	time.AfterFunc(3*heartbeat, func() { w.Store.Remove(tableServers, id) })
-	time.AfterFunc(downtime, func() {
-		listener, err := net.Listen("tcp", w.address)
-		if err != nil {
-			w.Record.Add("not-back", "worker", id, "err", err)
-			return
-		}
-		w.mu.Lock()
-		w.starts++
-		w.ID = fmt.Sprintf("%s-%d", id[:4], w.starts)
-		w.mu.Unlock()
-		w.serve(listener)
-	})
-}
-
 // Register writes the entry of the worker.
 func (w *Worker) Register(state string) uint64 {
 	version := w.Store.Put(tableServers, w.ID, map[string]any{
