--- a/review/rig-2/case_parts.go
+++ b/review/rig-2/case_parts.go
@@ -25,10 +25,9 @@
 	// its place in sound requests.
 	deadlyPart = "dead0001"
 	otherPart  = "50a9d001"
-	// partRanks is the number of ranks, partPieces that of the events of an answer.
-	partRanks  = 6
-	partPieces = 8
-	downtime   = 3 * time.Second
+	// partRanks is the number of ranks.
+	partRanks = 6
+	downtime  = 3 * time.Second
 	// crashDelay is the time from the first event to the crash.
 	crashDelay = 20 * time.Millisecond
 	partsTime  = 80 * time.Second
@@ -99,20 +98,10 @@
 		Record: c.Record,
 		Store:  c.Store,
 	}
-	var hosts []string
-	for i := range partRanks {
-		hosts = append(hosts, c.host(100+i))
-	}
-	err := group.Start(hosts, deadlyWrite(begun, crash))
+	err := c.startGroup(group, partRanks, deadlyWrite(begun, crash))
 	if err != nil {
 		return partsResult{}, err
 	}
-	for _, r := range group.Ranks {
-		err = c.startSidecar(r)
-		if err != nil {
-			return partsResult{}, err
-		}
-	}
 	err = c.start(3)
 	if err != nil {
 		return partsResult{}, err
--- a/review/rig-2/group.go
+++ b/review/rig-2/group.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -20,11 +21,15 @@
 	groupExperts = 24
 	groupPlaces  = 8
 	groupSlots   = 12
-	passTime     = 50 * time.Millisecond
+	usualPass    = 50 * time.Millisecond
 	prepareTime  = 60 * time.Millisecond
 	stallTime    = 1500 * time.Millisecond
 	formTime     = 600 * time.Millisecond
 	readPasses   = 2
+	// fewPieces is the number of events of an answer unless a request says otherwise in
+	// piecesHeader, which is for the stand-in alone.
+	fewPieces    = 8
+	piecesHeader = "X-Pieces"
 )
 
 // armedMap is a map that a rank changes to as a pass begins.
@@ -47,6 +52,8 @@
 	Ranks  []*Rank
 	Record *Record
 	Store  *Store
+	// PassTime is the duration of a pass; zero stands for usualPass.
+	PassTime time.Duration
 
 	mu    sync.Mutex
 	epoch uint64
@@ -63,7 +70,7 @@
 	Index int
 	ID    string
 	// Write is called before an event of an answer is written, with its number. It may crash
-	// the rank.
+	// the rank. It may be nil.
 	Write func(r *Rank, request *http.Request, event int)
 
 	address  string
@@ -108,7 +115,7 @@
 	}
 	go func() {
 		for {
-			time.Sleep(passTime)
+			time.Sleep(cmp.Or(g.PassTime, usualPass))
 			g.begin()
 		}
 	}()
@@ -480,8 +487,14 @@
 func (r *Rank) answer(w http.ResponseWriter, request *http.Request, id, self string) {
 	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id")) // none means from the start
 	flush := http.NewResponseController(w)
-	for event := last + 1; event <= partPieces; event++ {
-		r.Write(r, request, event)
+	pieces, err := strconv.Atoi(request.Header.Get(piecesHeader))
+	if err != nil {
+		pieces = fewPieces
+	}
+	for event := last + 1; event <= pieces; event++ {
+		if r.Write != nil {
+			r.Write(r, request, event)
+		}
 		if event > last+1 && !r.Group.await(request) {
 			r.stall(request)
 			r.Group.Record.Add("cut", "worker", self, "request", id, "event", event)
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -115,6 +116,25 @@
 	return w.Start(c.host(100 + len(c.Workers)))
 }
 
+// startGroup starts a model group of some ranks, and the sidecars beside them.
+func (c *Case) startGroup(g *Group, ranks int, write func(r *Rank, request *http.Request, event int)) error {
+	var hosts []string
+	for i := range ranks {
+		hosts = append(hosts, c.host(100+i))
+	}
+	err := g.Start(hosts, write)
+	if err != nil {
+		return err
+	}
+	for _, r := range g.Ranks {
+		err = c.startSidecar(r)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // stop ends the processes that the case started, and removes the temporary folder.
 func (c *Case) stop() {
 	processes := c.sidecars
