--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// longestRun is the time after which a case is given up.
+const longestRun = 118 * time.Second
+
 // Exit codes of a case.
 const (
 	exitHeld   = 0
@@ -169,7 +172,10 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-signals
+		select {
+		case <-signals:
+		case <-time.After(longestRun):
+		}
 		c.stop()
 		os.Exit(exitNotRun)
 	}()
