--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -169,8 +169,9 @@
 		return exitNotRun
 	}
 	defer c.stop()
+	signal.Ignore(syscall.SIGPIPE) // who reads the output may have left
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
 		select {
 		case <-signals:
