--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p ../target/review-2
-GOWORK=off go build -C rig-2 -buildvcs=false -o ../../target/review-2/rig .
+GOWORK=off go build -C rig-2 -buildvcs=false -o ../../target/review-2/rig ./platform
--- a/review/rig-2/entry.go
+++ b/review/rig-2/platform/entry.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -164,11 +165,8 @@
 	if err != nil {
 		return err
 	}
-	p, err := c.startProcess("sidecar", fmt.Sprintf("sidecar-%d", r.Index), host, sideMemory,
+	_, err = c.startProcess("sidecar", fmt.Sprintf("sidecar-%d", r.Index), host, sideMemory,
 		fmt.Sprintf(sidecarSettings, r.address, serviceDraft), "[listen]\n")
-	if err == nil {
-		c.sidecars = append(c.sidecars, p)
-	}
 	return err
 }
 
@@ -197,6 +195,11 @@
 		Store: store,
 		done:  make(chan struct{}),
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped {
+		return nil, errors.New("the case has ended")
+	}
 	words := strings.Fields(command)
 	p.cmd = exec.Command(words[0], words[1:]...)
 	p.cmd.Dir = c.root
@@ -207,6 +210,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.processes = append(c.processes, p)
 	go func() {
 		_ = p.cmd.Wait()
 		_ = log.Close()
--- a/review/rig-2/main.go
+++ b/review/rig-2/platform/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -37,7 +38,11 @@
 	net       [2]int
 	// peerPorts are the ports for communication between nodes, the same on all machines.
 	peerPorts []int
-	sidecars  []*Process
+
+	mu sync.Mutex
+	// processes holds those that were started, stopped is set once they are ended.
+	processes []*Process
+	stopped   bool
 }
 
 // cases holds the cases by their numbers. Each returns whether the rule was broken.
@@ -140,11 +145,10 @@
 
 // stop ends the processes that the case started, and removes the temporary folder.
 func (c *Case) stop() {
-	processes := c.sidecars
-	for _, e := range c.Entries {
-		processes = append(processes, e.Process)
-	}
-	for _, p := range processes {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	for _, p := range c.processes {
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
 		<-p.done
@@ -172,14 +176,19 @@
 	signal.Ignore(syscall.SIGPIPE) // who reads the output may have left
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	go func() {
-		select {
-		case <-signals:
-		case <-time.After(longestRun):
-		}
-		c.stop()
-		os.Exit(exitNotRun)
-	}()
+	result := make(chan int, 1)
+	go func() { result <- c.result(play) }()
+	select {
+	case code := <-result:
+		return code
+	case <-signals:
+	case <-time.After(longestRun):
+	}
+	return exitNotRun
+}
+
+// result plays a case and returns its exit code.
+func (c *Case) result(play func(c *Case) (bool, error)) int {
 	broken, err := play(c)
 	if err != nil {
 		c.Record.Say("case not run: " + err.Error())
